Add the peer transport over HTTP/2 and the upstream client

Cause: daemons need request and reply between VMs and pooled connections to upstreams. Change: nghttp2 sessions on libevent bufferevents; evhttp connections that hand on only whole answers to the own request, tell 'no byte was written' from 'may have run', and are never reused after a timeout. Found by tests: the reply to an expired request was reported as lost connection, because cancelling the stream ended the call first; the call now ends before the stream.

--- /dev/null
+++ b/pistachiospan/peer_transport/peer_transport_test.cpp
@@ -0,0 +1,157 @@
+#include "pistachiospan/peer_transport/peer_transport.hpp"
+
+#include <arpa/inet.h>
+#include <boost/test/unit_test.hpp>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <unistd.h>
+
+using namespace pistachiospan;
+using namespace pistachiospan::peer_transport;
+
+namespace
+{
+
+constexpr duration patience = std::chrono::seconds(20);
+const std::string address = "127.0.0.1:17391";
+
+struct loop
+{
+    event_base* base = event_base_new();
+
+    ~loop()
+    {
+        event_base_free(base);
+    }
+
+    result<std::string> call(peer_client& client, const std::string& path,
+                             const std::string& body, duration timeout = patience)
+    {
+        std::optional<result<std::string>> answer;
+        client.request(path, body, timeout,
+                       [&](result<std::string> reply)
+                       {
+                           answer = std::move(reply);
+                           event_base_loopbreak(base);
+                       });
+        while (!answer)
+            event_base_loop(base, EVLOOP_ONCE);
+        return *answer;
+    }
+};
+
+peer_server_options echo()
+{
+    return {.address = address,
+            .on_request =
+                [](std::string_view path, const std::string& body, const auto& reply)
+            {
+                reply(std::string(path) + ":" + body);
+            }};
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_request_gets_the_reply_of_its_own_stream, loop)
+{
+    peer_server server(base, echo());
+    peer_client client(base, {.address = address});
+    BOOST_TEST(call(client, "/a", "1").value() == "/a:1");
+    BOOST_TEST(call(client, "/b", "2").value() == "/b:2");
+}
+
+// Guards against replies being swapped when the peer answers in another order.
+BOOST_FIXTURE_TEST_CASE(replies_in_reverse_order_reach_their_requests, loop)
+{
+    std::vector<std::pair<std::string, reply_sender>> held;
+    peer_server server(base, {.address = address,
+                              .on_request = [&](auto, std::string body, auto reply)
+                              {
+                                  held.emplace_back(body, reply);
+                                  if (held.size() < 3)
+                                      return;
+                                  for (auto it = held.rbegin(); it != held.rend(); ++it)
+                                      it->second(it->first);
+                              }});
+    peer_client client(base, {.address = address});
+    std::map<int, std::string> replies;
+    for (int i = 0; i < 3; ++i)
+        client.request("/m", std::to_string(i), patience,
+                       [&, i](result<std::string> reply) { replies[i] = reply.value(); });
+    while (replies.size() < 3)
+        event_base_loop(base, EVLOOP_ONCE);
+    for (const auto& [sent, received] : replies)
+        BOOST_TEST(std::to_string(sent) == received);
+}
+
+// Guards against truncated bodies: 8 MiB pass the flow control windows many times.
+BOOST_FIXTURE_TEST_CASE(bodies_of_several_megabytes_arrive_whole, loop)
+{
+    peer_server server(base, echo());
+    peer_client client(base, {.address = address});
+    const std::string body(std::size_t{8} << 20U, 'x');
+    BOOST_TEST((call(client, "/u", body).value() == "/u:" + body));
+}
+
+// Guards against unbounded buffers in the server.
+BOOST_FIXTURE_TEST_CASE(a_body_over_the_limit_is_refused, loop)
+{
+    auto options = echo();
+    options.max_body = 1000;
+    peer_server server(base, options);
+    peer_client client(base, {.address = address});
+    BOOST_TEST(!call(client, "/u", std::string(5000, 'x')).has_value());
+    BOOST_TEST(call(client, "/u", "small").has_value());
+}
+
+// Guards against calling a request failed for sure when the peer may have served it.
+BOOST_FIXTURE_TEST_CASE(a_lost_connection_is_unknown_and_a_refused_one_unavailable, loop)
+{
+    peer_client client(base, {.address = address});
+    const auto refused = call(client, "/a", "1");
+    BOOST_TEST((refused.error().code == errc::unavailable));
+
+    auto server = std::make_unique<peer_server>(
+        base, peer_server_options{.address = address,
+                                  .on_request = [&](auto, auto, auto)
+                                  {
+                                      event_base_loopbreak(base);
+                                  }});
+    std::optional<result<std::string>> answer;
+    client.request("/a", "1", patience, [&](auto reply) { answer = std::move(reply); });
+    event_base_dispatch(base); // until the server has the request
+    server.reset();
+    while (!answer)
+        event_base_loop(base, EVLOOP_ONCE);
+    BOOST_TEST((answer->error().code == errc::unknown_outcome));
+
+    server = std::make_unique<peer_server>(base, echo());
+    BOOST_TEST(call(client, "/a", "2").value() == "/a:2");
+}
+
+// Guards against a request without end when the peer does not answer.
+BOOST_FIXTURE_TEST_CASE(a_silent_peer_leads_to_a_timeout, loop)
+{
+    peer_server server(base, {.address = address, .on_request = [](auto, auto, auto) {
+                              }});
+    peer_client client(base, {.address = address});
+    const auto reply = call(client, "/a", "1", std::chrono::milliseconds(20));
+    BOOST_TEST((reply.error().code == errc::timeout));
+}
+
+// Guards against a crash on bytes that are not HTTP/2.
+BOOST_FIXTURE_TEST_CASE(bytes_of_another_protocol_end_the_connection_only, loop)
+{
+    peer_server server(base, echo());
+    const int raw = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_storage target{};
+    int size = sizeof(target);
+    evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&target),
+                               &size);
+    BOOST_REQUIRE(connect(raw, reinterpret_cast<sockaddr*>(&target), size) == 0);
+    const std::string text = "GET / HTTP/1.1\r\n\r\n\r\n\r\n";
+    BOOST_REQUIRE(write(raw, text.data(), text.size()) == std::ssize(text));
+    peer_client client(base, {.address = address});
+    BOOST_TEST(call(client, "/a", "1").has_value());
+    close(raw);
+}
--- /dev/null
+++ b/pistachiospan/upstream_client/upstream_client.hpp
@@ -0,0 +1,89 @@
+// HTTP client towards upstreams: pooled evhttp connections, one request each at a time.
+//
+// Example:
+//
+//     client upstreams(base, {});
+//     const call_id call = upstreams.send("127.0.0.1:8001", request, on_answer);
+//     upstreams.cancel(call); // closes the connection: the upstream sees the
+//     cancellation
+//
+// Only whole answers to the own request are handed on: an answer without framing, cut
+// short, or with another request id is an error, and its connection is closed.
+
+#ifndef PISTACHIOSPAN_UPSTREAM_CLIENT_UPSTREAM_CLIENT_HPP
+#define PISTACHIOSPAN_UPSTREAM_CLIENT_UPSTREAM_CLIENT_HPP
+
+#include "pistachiospan/base/base.hpp"
+
+#include <memory>
+#include <vector>
+
+struct event_base;
+
+namespace pistachiospan::upstream_client
+{
+
+struct header
+{
+    std::string name;
+    std::string value;
+};
+
+struct request
+{
+    std::string method; // GET, HEAD, POST, PUT, DELETE, PATCH or OPTIONS
+    std::string target; // path and query
+    std::string request_id;
+    std::vector<header> headers;
+    std::string body;
+    duration timeout = std::chrono::seconds(10); // from now to the last byte
+};
+
+struct response
+{
+    int status = 0;
+    std::vector<header> headers;
+    std::string body;
+};
+
+struct client_options
+{
+    std::size_t max_answer = std::size_t{8} << 20U;   // bytes of one answer's body
+    std::size_t max_idle = 8;                         // idle connections to one upstream
+    duration idle_timeout = std::chrono::seconds(30); // of one idle connection
+};
+
+// Errors: unavailable (no byte of the request was written: it has not run),
+// unknown_outcome and timeout (the upstream may have run it).
+using answer_handler = std::function<void(result<response>)>;
+
+using call_id = std::uint64_t;
+
+class client
+{
+public:
+    client(event_base* base, client_options options);
+    ~client();
+    client(const client&) = delete;
+    client& operator=(const client&) = delete;
+
+    // Calls `done` exactly once, from the loop, unless the call is cancelled before.
+    call_id send(const std::string& address, request outgoing, answer_handler done);
+
+    // Ends a call and closes its connection; its handler is not called.
+    void cancel(call_id call);
+
+    // Closes the idle connections to one upstream.
+    void close_idle(const std::string& address);
+
+    // Open connections to one upstream, busy and idle.
+    std::size_t connections(const std::string& address) const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> self;
+};
+
+} // namespace pistachiospan::upstream_client
+
+#endif
