Add the catalogue parser and strict INI reading

All problems of a file are reported at once, each with file, line and remedy. find_route refuses paths that an upstream could read as another path, since a keyed route could be passed that way.

The INI layer is a library of its own (ini), since the process settings use it too. The look-up index is a public member, so that catalogue stays an aggregate.

--- /dev/null
+++ b/pistachiospan/catalogue/catalogue.cpp
@@ -0,0 +1,222 @@
+#include "pistachiospan/catalogue/catalogue.hpp"
+
+#include "pistachiospan/ini/ini.hpp"
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+#include <stdexcept>
+
+namespace pistachiospan::catalogue
+{
+
+namespace
+{
+
+constexpr std::string_view unreserved =
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~";
+
+// Whether the encoded character at `at` is one that upstreams decode before they match.
+bool is_ambiguous_escape(std::string_view path, std::size_t at)
+{
+    unsigned int value = 0;
+    const std::string_view digits = path.substr(at + 1, 2);
+    const auto [rest, problem] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), value, 16);
+    if (digits.size() != 2 || problem != std::errc() ||
+        rest != digits.data() + digits.size())
+        return true;
+    const char decoded = static_cast<char>(value);
+    return value < 32 || value == 127 || decoded == '/' || decoded == '\\' ||
+           decoded == '%' || unreserved.find(decoded) != std::string_view::npos;
+}
+
+bool is_plain_segment(std::string_view segment)
+{
+    return !segment.empty() && segment != "." && segment != "..";
+}
+
+bool is_plain_path(std::string_view path)
+{
+    if (!path.starts_with('/'))
+        return false;
+    std::size_t begin = 1;
+    for (std::size_t at = 1; at < path.size(); ++at)
+    {
+        const char c = path[at];
+        if (static_cast<unsigned char>(c) < 33 || c == 127 || c == '\\' || c == '#')
+            return false;
+        if (c == '%' && is_ambiguous_escape(path, at))
+            return false;
+        if (c != '/')
+            continue;
+        if (!is_plain_segment(path.substr(begin, at - begin)))
+            return false;
+        begin = at + 1;
+    }
+    const std::string_view last = path.substr(begin);
+    return last.empty() || is_plain_segment(last);
+}
+
+bool has_prefix(std::string_view path, std::string_view prefix)
+{
+    if (prefix == "/")
+        return true;
+    return path.starts_with(prefix) &&
+           (path.size() == prefix.size() || path[prefix.size()] == '/');
+}
+
+// Whether `hash` is one of the hashes; looks at all of them.
+bool holds(const client_account& account, std::string_view hash)
+{
+    bool found = false;
+    for (const std::string& each : account.key_hashes)
+        found |= equal_constant_time(each, hash);
+    return found;
+}
+
+const client_account*
+search_accounts(const std::map<std::string, client_account>& accounts,
+                std::string_view hash)
+{
+    const client_account* found = nullptr;
+    for (const auto& [name, account] : accounts)
+        if (holds(account, hash))
+            found = &account;
+    return found;
+}
+
+// The `server` line with another drain mark, or nothing when it is another line.
+std::optional<std::string> mark_line(std::string_view line, std::string_view address,
+                                     bool drain)
+{
+    const std::size_t sign = line.find_first_of("=:");
+    if (sign == std::string_view::npos ||
+        ini::split_words(line.substr(0, sign)) != std::vector<std::string>{"server"})
+        return std::nullopt;
+    const std::vector<std::string> words = ini::split_words(line.substr(sign + 1));
+    if (words.size() < 3 || words[0] != address)
+        return std::nullopt;
+    std::string marked = "server = " + words[0] + " @ " + words[2];
+    if (drain)
+        marked += " drain";
+    const std::size_t comment = line.find(';');
+    if (comment != std::string_view::npos)
+        marked += " " + std::string(line.substr(comment));
+    return marked;
+}
+
+} // namespace
+
+const route* catalogue::find_route(std::string_view path) const
+{
+    path = path.substr(0, path.find('?'));
+    if (!is_plain_path(path))
+        return nullptr;
+    if (this->index.route_by_prefix.empty())
+    {
+        const route* best = nullptr;
+        for (const auto& [name, each] : this->routes)
+            if (has_prefix(path, each.path_prefix) &&
+                (best == nullptr || each.path_prefix.size() > best->path_prefix.size()))
+                best = &each;
+        return best;
+    }
+    // No prefix is longer than longest_prefix, so a long path costs no more.
+    for (std::size_t end = std::min(path.size(), this->index.longest_prefix); end > 0;
+         --end)
+    {
+        if (end < path.size() && path[end] != '/')
+            continue;
+        const auto found = this->index.route_by_prefix.find(path.substr(0, end));
+        if (found != this->index.route_by_prefix.end())
+            return &this->routes.at(found->second);
+    }
+    const auto root = this->index.route_by_prefix.find("/");
+    return root == this->index.route_by_prefix.end() ? nullptr
+                                                     : &this->routes.at(root->second);
+}
+
+const client_account* catalogue::find_account(std::string_view key) const
+{
+    if (key.empty() || key.size() > max_key_size)
+        return nullptr;
+    const std::string hash = hash_key(this->key_salt, key);
+    if (this->index.account_by_hash.empty())
+        return search_accounts(this->accounts, hash);
+    // The position in the table depends on the keyed hash only, which a caller can
+    // neither choose nor learn without the salt.
+    const auto found = this->index.account_by_hash.find(hash);
+    if (found == this->index.account_by_hash.end())
+        return nullptr;
+    const auto account = this->accounts.find(found->second);
+    if (account == this->accounts.end() || !holds(account->second, hash))
+        return nullptr;
+    return &account->second;
+}
+
+void catalogue::build_index()
+{
+    this->index.route_by_prefix.clear();
+    this->index.account_by_hash.clear();
+    this->index.longest_prefix = 0;
+    for (const auto& [name, each] : this->routes)
+    {
+        this->index.route_by_prefix.emplace(each.path_prefix, name);
+        this->index.longest_prefix =
+            std::max(this->index.longest_prefix, each.path_prefix.size());
+    }
+    for (const auto& [name, account] : this->accounts)
+        for (const std::string& hash : account.key_hashes)
+            this->index.account_by_hash.emplace(hash, name);
+}
+
+std::string hash_key(std::string_view salt, std::string_view key)
+{
+    return hmac_hex(salt, key);
+}
+
+std::string digest(std::string_view text)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
+    unsigned int size = 0;
+    if (EVP_Digest(text.data(), text.size(), bytes.data(), &size, EVP_sha256(),
+                   nullptr) != 1)
+        throw std::runtime_error("SHA-256 failed; check the OpenSSL installation");
+    static constexpr std::string_view digits = "0123456789abcdef";
+    std::string hex;
+    for (const unsigned char byte : std::span(bytes).first(size))
+    {
+        hex.push_back(digits[byte >> 4U]);
+        hex.push_back(digits[byte & 15U]);
+    }
+    return hex;
+}
+
+result<std::string> set_drain_mark(std::string_view text, std::string_view address,
+                                   bool drain)
+{
+    std::string changed;
+    bool found = false;
+    for (std::size_t begin = 0; begin < text.size();)
+    {
+        const std::size_t end = std::min(text.find('\n', begin), text.size());
+        const std::string_view line = text.substr(begin, end - begin);
+        const auto marked = mark_line(line, address, drain);
+        found = found || marked.has_value();
+        changed += marked.value_or(std::string(line));
+        if (end < text.size())
+            changed += '\n';
+        begin = end + 1;
+    }
+    if (!found)
+        return failure(errc::not_found, "no upstream has the address " +
+                                            std::string(address) +
+                                            "; use an address of a 'server' line");
+    return changed;
+}
+
+} // namespace pistachiospan::catalogue
--- a/pistachiospan/catalogue/catalogue.hpp
+++ b/pistachiospan/catalogue/catalogue.hpp
@@ -6,6 +6,9 @@
 //     if (!parsed)
 //         return parsed.error(); // file, line, what is wrong, remedy
 //     const route* found = parsed.value().find_route("/pesanan/orders");
+//     const client_account* caller = parsed.value().find_account(key);
+//
+// The text is INI; docs/settings.md describes its sections, keys, units and defaults.
 
 #ifndef PISTACHIOSPAN_CATALOGUE_CATALOGUE_HPP
 #define PISTACHIOSPAN_CATALOGUE_CATALOGUE_HPP
@@ -13,7 +16,7 @@
 #include "pistachiospan/base/base.hpp"
 
 #include <map>
-#include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace pistachiospan::catalogue
@@ -93,12 +96,22 @@
     std::vector<upstream> upstreams;
 };
 
+// Look-up tables of a catalogue, made by build_index().
+struct catalogue_index
+{
+    std::map<std::string, std::string, std::less<>> route_by_prefix;
+    std::unordered_map<std::string, std::string> account_by_hash;
+    std::size_t longest_prefix = 0;
+};
+
 struct catalogue
 {
     std::string name;
     std::string owner;
     std::string key_salt;          // key of the keyed hashes, hexadecimal
-    std::uint32_t rate_shares = 9; // equal parts of each account's rate and burst
+    std::uint32_t rate_shares = 9; // equal parts of each account's rate and burst;
+                                   // parse_catalogue: by default the entry VMs of all
+                                   // data centres
     duration confirm_within = std::chrono::seconds(5);
     std::map<std::string, region> regions;
     std::map<std::string, data_centre> data_centres;
@@ -107,17 +120,32 @@
     std::map<std::string, route> routes;
     std::map<std::string, upstream_group> groups;
 
-    // The route with the longest matching prefix of whole segments, or null.
+    // The route with the longest matching prefix of whole segments, or null. A query is
+    // ignored. Null as well for a path that an upstream could read as another one, and so
+    // could reach past a keyed route: empty, "." and ".." segments, backslashes, control
+    // characters, and percent-encoded letters, digits, '.', '-', '_', '~', '/', '\\',
+    // '%'.
     const route* find_route(std::string_view path) const;
 
-    // The account that holds this key, or null. Compares in constant time for each hash.
+    // The account that holds this key, or null. The cost does not depend on which key
+    // matches: one HMAC, one look-up by its value, comparison in constant time.
     const client_account* find_account(std::string_view key) const;
+
+    // Prepares find_route and find_account; parse_catalogue does so. Without it, both
+    // search all entries. To be called again after a change of `accounts` or `routes`.
+    void build_index();
+
+    catalogue_index index;
 };
 
-// Keyed hash under which a key is stored.
+// Longest key that a caller may present, in bytes.
+inline constexpr std::size_t max_key_size = 256;
+
+// Keyed hash under which a key is stored: 64 hexadecimal digits.
 std::string hash_key(std::string_view salt, std::string_view key);
 
-// Reads and checks a catalogue. The error names file, line, what is wrong and the remedy.
+// Reads and checks a catalogue. The error has one line for each problem, each with file,
+// line, what is wrong and the remedy.
 result<catalogue> parse_catalogue(std::string_view text, std::string_view file_name);
 
 // One change between two catalogues, for operators and the audit trail.
@@ -130,11 +158,18 @@
     bool operator==(const change&) const = default;
 };
 
+// Changes in the order of kind, entry and field. Key hashes are shown by their first 8
+// digits.
 std::vector<change> compare(const catalogue& before, const catalogue& after);
 
-// Digest of the catalogue's text: equal for equal text. 64 hexadecimal digits.
+// Digest of the catalogue's text (SHA-256): equal for equal text. 64 hexadecimal digits.
 std::string digest(std::string_view text);
 
+// The same text with the drain mark of one upstream set or removed; all other lines and
+// comments stay as they are. Error not_found when no `server` line has this address.
+result<std::string> set_drain_mark(std::string_view text, std::string_view address,
+                                   bool drain);
+
 } // namespace pistachiospan::catalogue
 
 #endif
--- /dev/null
+++ b/pistachiospan/catalogue/parse.cpp
@@ -0,0 +1,530 @@
+#include "pistachiospan/catalogue/catalogue.hpp"
+#include "pistachiospan/ini/ini.hpp"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace pistachiospan::catalogue
+{
+
+namespace
+{
+
+using ini::document;
+using ini::entry;
+using ini::fields;
+using ini::problem_list;
+using ini::section;
+
+constexpr std::size_t min_salt_digits = 32;
+constexpr std::size_t hash_digits = 64;
+constexpr duration max_span = std::chrono::hours(1);
+
+bool is_hex(std::string_view text)
+{
+    return text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+result<std::string> parse_salt(std::string_view value)
+{
+    if (!is_hex(value) || value.size() < min_salt_digits)
+        return failure(errc::invalid_argument,
+                       "not a salt; write at least 32 lower-case hexadecimal digits, for "
+                       "example from 'openssl rand -hex 16'");
+    return std::string(value);
+}
+
+result<std::string> parse_hash(std::string_view value)
+{
+    if (!is_hex(value) || value.size() != hash_digits)
+        return failure(errc::invalid_argument,
+                       "not a keyed hash; write the 64 hexadecimal digits that "
+                       "'pistachioctl hash-key' prints, never the key itself");
+    return std::string(value);
+}
+
+result<unconfirmed_policy> parse_unconfirmed(std::string_view value)
+{
+    if (value == "refuse")
+        return unconfirmed_policy::refuse;
+    if (value == "majority")
+        return unconfirmed_policy::majority;
+    if (value == "serve")
+        return unconfirmed_policy::serve;
+    return failure(errc::invalid_argument,
+                   "unknown policy; write 'refuse', 'majority' or "
+                   "'serve'");
+}
+
+result<bool> parse_access(std::string_view value)
+{
+    if (value == "open" || value == "keyed")
+        return value == "open";
+    return failure(errc::invalid_argument, "unknown access; write 'open' or 'keyed'");
+}
+
+result<std::vector<std::string>> parse_methods(std::string_view value)
+{
+    static constexpr std::array<std::string_view, 7> known = {
+        "GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"};
+    std::vector<std::string> methods = ini::split_words(value);
+    if (methods == std::vector<std::string>{"none"})
+        return std::vector<std::string>();
+    const auto is_known = [](const std::string& method)
+    {
+        return std::find(known.begin(), known.end(), method) != known.end();
+    };
+    const std::set<std::string> different(methods.begin(), methods.end());
+    if (methods.empty() || different.size() != methods.size() ||
+        !std::all_of(methods.begin(), methods.end(), is_known))
+        return failure(errc::invalid_argument,
+                       "not a list of methods; write each once, separated by blanks, out "
+                       "of GET HEAD OPTIONS PUT DELETE POST PATCH, or 'none'");
+    return methods;
+}
+
+result<std::string> parse_prefix(std::string_view value)
+{
+    constexpr std::string_view safe =
+        "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~/";
+    const bool ends_well = value == "/" || !value.ends_with('/');
+    if (!value.starts_with('/') || !ends_well ||
+        value.find_first_not_of(safe) != std::string_view::npos)
+        return failure(errc::invalid_argument,
+                       "not a path prefix; write '/' or whole segments of letters, "
+                       "digits, '-', '.', '_' and '~', for example '/orders/new'");
+    for (const std::string_view bad : {"//", "/./", "/../"})
+        if ((std::string(value) + "/").find(bad) != std::string::npos && value != "/")
+            return failure(errc::invalid_argument,
+                           "empty, '.' and '..' segments never match; remove them");
+    for (const std::string_view own : {"/.well-known/pistachiospan", "/healthz",
+                                       "/readyz", "/metrics", "/explain", "/status"})
+        if (value == own || value.starts_with(std::string(own) + "/"))
+            return failure(errc::invalid_argument,
+                           "the entry daemon answers this path itself; choose another "
+                           "prefix");
+    return std::string(value);
+}
+
+template <class T>
+auto count(T least, T most, std::string_view bounds)
+{
+    return ini::within<T>(ini::parse_count, least, most, bounds);
+}
+
+auto span_of_time(duration least, std::string_view bounds)
+{
+    return ini::within<duration>(ini::parse_duration, least, max_span, bounds);
+}
+
+// Reads one text. Sections are read in any order, references are checked at the end.
+class reader
+{
+public:
+    explicit reader(problem_list& problems) : problems(problems) {}
+
+    catalogue read(const document& text)
+    {
+        for (const section& part : text.sections)
+            this->read_section(part);
+        if (!this->has_catalogue)
+            this->problems.add(0, "section [catalogue] is missing; add it with name, "
+                                  "owner and key_salt");
+        this->check_shares();
+        this->check_references();
+        this->check_links();
+        this->check_caps();
+        return std::move(this->made);
+    }
+
+private:
+    // Lines of an entry that later checks name.
+    struct lines
+    {
+        std::size_t heading = 0;
+        std::size_t reference = 0; // of the key that names another entry
+        std::size_t cap = 0;
+        std::vector<std::size_t> servers;
+    };
+
+    void read_section(const section& part)
+    {
+        static constexpr std::string_view kinds =
+            "[catalogue], [region R], [data_centre D], [link A B], [client_account N], "
+            "[route N], [upstream_group N]";
+        const std::map<std::string_view,
+                       std::pair<std::size_t, void (reader::*)(const section&)>>
+            readers = {{"catalogue", {0, &reader::read_head}},
+                       {"region", {1, &reader::read_region}},
+                       {"data_centre", {1, &reader::read_data_centre}},
+                       {"link", {2, &reader::read_link}},
+                       {"client_account", {1, &reader::read_account}},
+                       {"route", {1, &reader::read_route}},
+                       {"upstream_group", {1, &reader::read_group}}};
+        const auto found = readers.find(part.kind);
+        if (found == readers.end())
+            return this->problems.add(part.line, "unknown section " + part.title() +
+                                                     "; known sections are " +
+                                                     std::string(kinds));
+        if (found->second.first != part.names.size())
+            return this->problems.add(part.line,
+                                      "wrong number of names in " + part.title() +
+                                          "; known sections are " + std::string(kinds));
+        for (const std::string& name : part.names)
+            if (const auto good = ini::parse_name(name); !good)
+                return this->problems.add(part.line,
+                                          part.title() + ": " + good.error().message);
+        (this->*found->second.second)(part);
+    }
+
+    void read_head(const section& part)
+    {
+        this->has_catalogue = true;
+        fields from(part, this->problems);
+        from.required("name", this->made.name, ini::parse_name);
+        from.required("owner", this->made.owner, ini::parse_text);
+        from.required("key_salt", this->made.key_salt, parse_salt);
+        this->has_shares = from.optional("rate_shares", this->made.rate_shares,
+                                         count<std::uint32_t>(1, 10000, "1 to 10000"));
+        this->shares_line = from.line_of("rate_shares");
+        // Below 2 s a healthy fleet, which polls each second, would often be stale.
+        from.optional("confirm_within", this->made.confirm_within,
+                      span_of_time(std::chrono::seconds(2), "2 s to 1 h"));
+        from.finish();
+    }
+
+    void read_region(const section& part)
+    {
+        fields(part, this->problems).finish();
+        this->made.regions[part.names[0]] = {.name = part.names[0]};
+    }
+
+    void read_data_centre(const section& part)
+    {
+        data_centre made{.name = part.names[0]};
+        fields from(part, this->problems);
+        from.required("region", made.region, ini::parse_name);
+        from.required("entry_vms", made.entry_vms,
+                      count<std::uint32_t>(0, 10000, "0 to 10000"));
+        this->read_cap(from, made.max_in_flight);
+        from.finish();
+        this->data_centre_lines[made.name] = {.heading = part.line,
+                                              .reference = from.line_of("region"),
+                                              .cap = from.line_of("max_in_flight")};
+        this->made.data_centres[made.name] = std::move(made);
+    }
+
+    // An absent cap is no cap. The value 0 is refused: it could be meant as "none at
+    // all".
+    static void read_cap(fields& from, std::uint32_t& cap)
+    {
+        from.optional(
+            "max_in_flight", cap,
+            count<std::uint32_t>(1, 10'000'000,
+                                 "1 to 10000000, or leave the key out for no cap"));
+    }
+
+    void read_link(const section& part)
+    {
+        link made{.from = part.names[0], .to = part.names[1]};
+        fields from(part, this->problems);
+        from.required("capacity", made.mbit_per_s,
+                      ini::within<std::uint64_t>(ini::parse_mbit, 1, 10'000'000,
+                                                 "1 Mbit/s to 10000 Gbit/s"));
+        from.finish();
+        for (const std::string& end : part.names)
+            this->link_ends.push_back({part.line, part.title(), end});
+        if (made.from == made.to)
+            this->problems.add(part.line, part.title() +
+                                              " joins a region to itself; name two "
+                                              "different regions");
+        for (const link& earlier : this->made.links)
+            if (earlier.from == made.to && earlier.to == made.from)
+                this->problems.add(part.line, part.title() + " repeats [link " +
+                                                  earlier.from + " " + earlier.to +
+                                                  "], which covers both directions; "
+                                                  "remove one of the two");
+        this->made.links.push_back(std::move(made));
+    }
+
+    void read_account(const section& part)
+    {
+        client_account made{.name = part.names[0]};
+        fields from(part, this->problems);
+        from.required("owner", made.owner, ini::parse_text);
+        from.required("class", made.account_class, ini::parse_name);
+        from.required(
+            "rate", made.rate,
+            ini::within<double>(ini::parse_rate, 0.001, 1e6, "0.001/s to 1000000/s"));
+        // Below one request a bucket never holds a whole token, so nothing is admitted.
+        from.required("burst", made.burst, count<double>(1, 1e6, "1 to 1000000"));
+        from.optional("weight", made.weight, count<std::uint32_t>(1, 1000, "1 to 1000"));
+        from.each("key_hash",
+                  [&](const entry& given) { return this->take_hash(made, given); });
+        from.finish();
+        this->made.accounts[made.name] = std::move(made);
+    }
+
+    result<bool> take_hash(client_account& made, const entry& given)
+    {
+        auto hash = parse_hash(given.value);
+        if (!hash)
+            return hash.error();
+        const auto [seen, is_new] = this->hash_lines.emplace(hash.value(), given.line);
+        if (!is_new)
+            return failure(errc::invalid_argument,
+                           "this hash was given in line " + std::to_string(seen->second) +
+                               "; each key belongs to one account, remove one of the "
+                               "two");
+        made.key_hashes.push_back(std::move(hash).value());
+        return true;
+    }
+
+    void read_route(const section& part)
+    {
+        route made{.name = part.names[0]};
+        fields from(part, this->problems);
+        from.required("owner", made.owner, ini::parse_text);
+        from.required("class", made.route_class, ini::parse_name);
+        if (from.required("path_prefix", made.path_prefix, parse_prefix))
+            this->check_prefix(made.path_prefix, from.line_of("path_prefix"));
+        from.required("group", made.group, ini::parse_name);
+        from.required("access", made.open, parse_access);
+        from.optional("idempotent_methods", made.idempotent_methods, parse_methods);
+        const bool has_policy =
+            from.optional("unconfirmed", made.unconfirmed, parse_unconfirmed);
+        from.optional("deadline", made.deadline,
+                      span_of_time(std::chrono::milliseconds(1), "1 ms to 1 h"));
+        from.optional(
+            "max_body", made.max_body,
+            ini::within<std::uint64_t>(ini::parse_bytes, 0, 1ULL << 30U, "0 B to 1 GiB"));
+        from.finish();
+        if (made.open && has_policy && made.unconfirmed != unconfirmed_policy::serve)
+            this->problems.add(from.line_of("unconfirmed"),
+                               part.title() + " is open, and open routes are always "
+                                              "served; remove 'unconfirmed' or write "
+                                              "'access = keyed'");
+        if (made.open)
+            made.unconfirmed = unconfirmed_policy::serve;
+        this->route_lines[made.name] = {.heading = part.line,
+                                        .reference = from.line_of("group")};
+        this->made.routes[made.name] = std::move(made);
+    }
+
+    void check_prefix(const std::string& prefix, std::size_t line)
+    {
+        const auto [seen, is_new] = this->prefix_lines.emplace(prefix, line);
+        if (!is_new)
+            this->problems.add(line, "path prefix '" + prefix + "' was given in line " +
+                                         std::to_string(seen->second) +
+                                         "; give each route its own prefix");
+    }
+
+    void read_group(const section& part)
+    {
+        upstream_group made{.name = part.names[0]};
+        lines at{.heading = part.line};
+        fields from(part, this->problems);
+        from.required("owner", made.owner, ini::parse_text);
+        from.required("class", made.group_class, ini::parse_name);
+        from.required("slots", made.slots, count<std::uint32_t>(1, 10000, "1 to 10000"));
+        from.optional("connections", made.connections,
+                      count<std::uint32_t>(1, 65535, "1 to 65535"));
+        from.optional("warm_up", made.warm_up, span_of_time(duration(0), "0 s to 1 h"));
+        this->read_cap(from, made.max_in_flight);
+        from.each("server",
+                  [&](const entry& given) { return this->take_server(made, at, given); });
+        from.finish();
+        if (made.upstreams.empty())
+            this->problems.add(part.line, part.title() +
+                                              " has no server; add 'server = ip:port @ "
+                                              "data_centre'");
+        if (made.connections < made.slots)
+            this->problems.add(from.line_of("connections"),
+                               part.title() + ": " + std::to_string(made.slots) +
+                                   " slots need as many connections, there are " +
+                                   std::to_string(made.connections) +
+                                   "; raise 'connections' or lower 'slots'");
+        at.cap = from.line_of("max_in_flight");
+        this->group_lines[made.name] = std::move(at);
+        this->made.groups[made.name] = std::move(made);
+    }
+
+    result<bool> take_server(upstream_group& group, lines& at, const entry& given)
+    {
+        const std::vector<std::string> words = ini::split_words(given.value);
+        const bool drain = words.size() == 4 && words[3] == "drain";
+        if ((words.size() != 3 && !drain) || words[1] != "@")
+            return failure(errc::invalid_argument,
+                           "not a server; write 'ip:port @ data_centre', followed by "
+                           "'drain' when it shall receive no new work");
+        if (const auto address = ini::parse_endpoint(words[0]); !address)
+            return address.error();
+        if (const auto name = ini::parse_name(words[2]); !name)
+            return name.error();
+        const auto [seen, is_new] = this->server_lines.emplace(words[0], given.line);
+        if (!is_new)
+            return failure(errc::invalid_argument,
+                           "this address was given in line " +
+                               std::to_string(seen->second) +
+                               "; its slots would be counted twice, remove one of the "
+                               "two");
+        group.upstreams.push_back(
+            {.address = words[0], .data_centre = words[2], .drain = drain});
+        at.servers.push_back(given.line);
+        return true;
+    }
+
+    void check_shares()
+    {
+        std::uint64_t entry_vms = 0;
+        for (const auto& [name, centre] : this->made.data_centres)
+            entry_vms += centre.entry_vms;
+        if (entry_vms == 0)
+            return this->problems.add(0, "no data centre has an entry VM; add "
+                                         "[data_centre D] with 'entry_vms'");
+        if (!this->has_shares)
+            this->made.rate_shares = static_cast<std::uint32_t>(entry_vms);
+        else if (this->made.rate_shares > entry_vms)
+            this->problems.add(this->shares_line,
+                               "rate_shares = " + std::to_string(this->made.rate_shares) +
+                                   ", but the data centres have " +
+                                   std::to_string(entry_vms) +
+                                   " entry VMs; shares without a holder would be lost, "
+                                   "write at most " +
+                                   std::to_string(entry_vms));
+    }
+
+    template <class Entries>
+    void check_reference(std::size_t line, const std::string& where,
+                         const std::string& kind, const std::string& name,
+                         const Entries& entries)
+    {
+        // An empty name was reported as missing or malformed.
+        if (name.empty() || entries.contains(name))
+            return;
+        this->problems.add(line, where + " names " + kind + " '" + name +
+                                     "', which does not exist; correct the name or add "
+                                     "[" +
+                                     kind + " " + name + "]");
+    }
+
+    void check_references()
+    {
+        for (const auto& [name, centre] : this->made.data_centres)
+            this->check_reference(this->data_centre_lines[name].reference,
+                                  "[data_centre " + name + "]", "region", centre.region,
+                                  this->made.regions);
+        for (const auto& [name, route] : this->made.routes)
+            this->check_reference(this->route_lines[name].reference,
+                                  "[route " + name + "]", "upstream_group", route.group,
+                                  this->made.groups);
+        for (const link_end& end : this->link_ends)
+            this->check_reference(end.line, end.title, "region", end.region,
+                                  this->made.regions);
+        for (const auto& [name, group] : this->made.groups)
+            this->check_servers(group, this->group_lines[name]);
+    }
+
+    void check_servers(const upstream_group& group, const lines& at)
+    {
+        for (std::size_t i = 0; i < group.upstreams.size(); ++i)
+        {
+            const upstream& server = group.upstreams[i];
+            const std::string where = "server " + server.address;
+            this->check_reference(at.servers[i], where, "data_centre", server.data_centre,
+                                  this->made.data_centres);
+            const auto centre = this->made.data_centres.find(server.data_centre);
+            if (centre != this->made.data_centres.end() && centre->second.entry_vms == 0)
+                this->problems.add(at.servers[i],
+                                   where + " is in data centre '" + server.data_centre +
+                                       "', which has no entry VM to own its slots; set "
+                                       "its 'entry_vms' or move the server");
+        }
+    }
+
+    // Without a budget, traffic between two regions would have no bound.
+    void check_links()
+    {
+        std::set<std::pair<std::string, std::string>> linked;
+        for (const link& each : this->made.links)
+            linked.insert(std::minmax(each.from, each.to));
+        for (const auto& [from, unused_from] : this->made.regions)
+            for (const auto& [to, unused_to] : this->made.regions)
+                if (from < to && !linked.contains({from, to}))
+                    this->report_unlinked(from, to);
+    }
+
+    void report_unlinked(const std::string& from, const std::string& to)
+    {
+        std::string message = "regions '" + from;
+        message += "' and '" + to;
+        message += "' have no link; add [link " + from;
+        message += " " + to + "] with 'capacity'";
+        this->problems.add(0, std::move(message));
+    }
+
+    // A cap above the slots of its upstreams would never take effect.
+    void check_caps()
+    {
+        std::map<std::string, std::uint64_t> slots_of;
+        for (const auto& [name, group] : this->made.groups)
+        {
+            for (const upstream& server : group.upstreams)
+                slots_of[server.data_centre] += group.slots;
+            this->check_cap("[upstream_group " + name + "]", this->group_lines[name].cap,
+                            group.max_in_flight,
+                            std::uint64_t{group.slots} * group.upstreams.size());
+        }
+        for (const auto& [name, centre] : this->made.data_centres)
+            this->check_cap("[data_centre " + name + "]",
+                            this->data_centre_lines[name].cap, centre.max_in_flight,
+                            slots_of[name]);
+    }
+
+    void check_cap(const std::string& where, std::size_t line, std::uint64_t cap,
+                   std::uint64_t slots)
+    {
+        if (cap > slots)
+            this->problems.add(line, where + ": max_in_flight = " + std::to_string(cap) +
+                                         ", but its servers have " +
+                                         std::to_string(slots) +
+                                         " slots; write at most that, or remove the cap");
+    }
+
+    struct link_end
+    {
+        std::size_t line;
+        std::string title;
+        std::string region;
+    };
+
+    problem_list& problems;
+    catalogue made;
+    bool has_catalogue = false;
+    bool has_shares = false;
+    std::size_t shares_line = 0;
+    std::map<std::string, lines> data_centre_lines;
+    std::map<std::string, lines> route_lines;
+    std::map<std::string, lines> group_lines;
+    std::vector<link_end> link_ends;
+    std::map<std::string, std::size_t> hash_lines;
+    std::map<std::string, std::size_t> prefix_lines;
+    std::map<std::string, std::size_t> server_lines;
+};
+
+} // namespace
+
+result<catalogue> parse_catalogue(std::string_view text, std::string_view file_name)
+{
+    problem_list problems;
+    const document read = ini::read_document(text, problems);
+    catalogue made = reader(problems).read(read);
+    if (!problems.empty())
+        return problems.to_error(file_name);
+    made.build_index();
+    return made;
+}
+
+} // namespace pistachiospan::catalogue
--- /dev/null
+++ b/pistachiospan/ini/ini.cpp
@@ -0,0 +1,463 @@
+#include "pistachiospan/ini/ini.hpp"
+
+#include <arpa/inet.h>
+#include <ini.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <cstring>
+
+namespace pistachiospan::ini
+{
+
+namespace
+{
+
+constexpr std::string_view blanks = " \t\r\n\v\f";
+constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
+constexpr std::size_t max_problems_shown = 20;
+// inih copies a heading into an array of 50 bytes and cuts what is longer.
+constexpr std::size_t max_heading = 49;
+constexpr std::size_t max_name = 32;
+
+std::string_view trim(std::string_view text)
+{
+    const std::size_t begin = text.find_first_not_of(blanks);
+    if (begin == std::string_view::npos)
+        return {};
+    return text.substr(begin, text.find_last_not_of(blanks) - begin + 1);
+}
+
+// Supplies inih with one line at a time and collects what it finds. After each heading it
+// supplies the additional line "=", so that inih, which by itself reports keys only, also
+// reports sections without keys and sections that are repeated.
+class line_source
+{
+public:
+    line_source(std::string_view text, problem_list& problems)
+        : rest(text), problems(problems)
+    {
+        if (this->rest.starts_with(byte_order_mark))
+            this->rest.remove_prefix(byte_order_mark.size());
+    }
+
+    document run()
+    {
+        // The return value counts the supplied lines; lines that inih refuses are found
+        // here first, so that the line of the file is reported.
+        ini_parse_stream(&line_source::next_line, this, &line_source::take_entry, this);
+        return std::move(this->result);
+    }
+
+private:
+    static char* next_line(char* buffer, int size, void* stream)
+    {
+        return static_cast<line_source*>(stream)->supply(
+            {buffer, static_cast<std::size_t>(size)});
+    }
+
+    static int take_entry(void* user, const char* heading, const char* name,
+                          const char* value)
+    {
+        static_cast<line_source*>(user)->take(heading, name, value);
+        return 1;
+    }
+
+    char* supply(std::span<char> buffer)
+    {
+        if (this->heading_pending)
+        {
+            this->heading_pending = false;
+            this->heading_marker = true;
+            return copy("=", buffer);
+        }
+        this->heading_marker = false;
+        if (this->rest.empty())
+            return nullptr;
+        ++this->line;
+        const std::size_t end = this->rest.find('\n');
+        std::string_view line = this->rest.substr(0, end);
+        this->rest.remove_prefix(end == std::string_view::npos ? this->rest.size()
+                                                               : end + 1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        return copy(this->accept(line, buffer.size()) ? line : "", buffer);
+    }
+
+    static char* copy(std::string_view line, std::span<char> buffer)
+    {
+        std::copy(line.begin(), line.end(), buffer.begin());
+        buffer[line.size()] = '\n';
+        buffer[line.size() + 1] = '\0';
+        return buffer.data();
+    }
+
+    // Whether inih shall see this line.
+    bool accept(std::string_view line, std::size_t size)
+    {
+        // inih sees blank lines and comments as empty lines, so these have no bound.
+        if (trim(line).empty() || line.front() == ';' || line.front() == '#')
+            return false;
+        // Room for carriage return, line feed and the final zero, as inih asks for.
+        if (line.size() + 3 > size)
+            return this->refuse("the line has " + std::to_string(line.size()) +
+                                " bytes, at most " + std::to_string(size - 3) +
+                                " are read; shorten it, or move a comment to its own "
+                                "line");
+        const auto is_control = [](char c)
+        {
+            return (static_cast<unsigned char>(c) < 32 && c != '\t') || c == 127;
+        };
+        if (std::any_of(line.begin(), line.end(), is_control))
+            return this->refuse("the line has a control character; remove it");
+        // inih takes an indented line as a continuation of the previous value.
+        if (line.front() == ' ' || line.front() == '\t')
+            return this->refuse("the line is indented; begin it in the first column");
+        if (line.front() == '[')
+            return this->accept_heading(line);
+        return this->accept_entry(line);
+    }
+
+    bool accept_heading(std::string_view line)
+    {
+        const std::string_view heading = without_comment(line);
+        if (!heading.ends_with(']') || heading.find(']') != heading.size() - 1 ||
+            trim(heading.substr(1, heading.size() - 2)).empty())
+            return this->refuse_heading(
+                "malformed heading; write '[kind name]' on a line of its own");
+        if (heading.size() - 2 > max_heading)
+            return this->refuse_heading("the heading has " +
+                                        std::to_string(heading.size() - 2) +
+                                        " bytes, at most " + std::to_string(max_heading) +
+                                        " are read; use a shorter name");
+        this->heading_pending = true;
+        return true;
+    }
+
+    // The keys after a refused heading belong to no known section and are left out.
+    bool refuse_heading(std::string message)
+    {
+        this->skipping = true;
+        return this->refuse(std::move(message));
+    }
+
+    bool accept_entry(std::string_view line)
+    {
+        if (this->skipping)
+            return false;
+        const std::size_t sign = without_comment(line).find_first_of("=:");
+        if (sign == std::string_view::npos || sign == 0)
+            return this->refuse("neither a heading nor 'key = value'; write one of them, "
+                                "or begin a comment with ';'");
+        if (this->result.sections.empty())
+            return this->refuse("key before the first section; put it under a heading "
+                                "such as '[catalogue]'");
+        return true;
+    }
+
+    static std::string_view without_comment(std::string_view line)
+    {
+        std::size_t at = line.find(';');
+        while (at != std::string_view::npos &&
+               blanks.find(line[at - 1]) == std::string_view::npos)
+            at = line.find(';', at + 1);
+        return trim(line.substr(0, at));
+    }
+
+    bool refuse(std::string message)
+    {
+        this->problems.add(this->line, std::move(message));
+        return false;
+    }
+
+    void take(std::string_view heading, std::string_view name, std::string_view value)
+    {
+        if (this->heading_marker)
+            return this->begin_section(heading);
+        this->result.sections.back().entries.push_back(
+            {.key = std::string(name), .value = std::string(value), .line = this->line});
+    }
+
+    void begin_section(std::string_view heading)
+    {
+        std::vector<std::string> words = split_words(heading);
+        section begun{.kind = words.front(),
+                      .names = {words.begin() + 1, words.end()},
+                      .line = this->line};
+        for (const section& earlier : this->result.sections)
+            if (earlier.kind == begun.kind && earlier.names == begun.names)
+                this->problems.add(this->line, "section " + begun.title() +
+                                                   " was given in line " +
+                                                   std::to_string(earlier.line) +
+                                                   "; merge the two or rename one");
+        this->skipping = false;
+        this->result.sections.push_back(std::move(begun));
+    }
+
+    std::string_view rest;
+    problem_list& problems;
+    document result;
+    std::size_t line = 0;
+    bool heading_pending = false; // the next supplied line is the additional one
+    bool heading_marker = false;  // the line at hand is the additional one
+    bool skipping = false;
+};
+
+struct unit
+{
+    std::string_view name;
+    std::uint64_t factor;
+};
+
+// A whole number followed by one of `units`.
+result<std::uint64_t> parse_unit(std::string_view value, std::span<const unit> units,
+                                 std::string_view examples)
+{
+    std::uint64_t number = 0;
+    const char* end = value.data() + value.size();
+    const auto [rest, problem] = std::from_chars(value.data(), end, number);
+    const std::string remedy = "; write for example " + std::string(examples);
+    if (problem == std::errc::result_out_of_range)
+        return failure(errc::invalid_argument, "the number is too large" + remedy);
+    if (problem != std::errc())
+        return failure(errc::invalid_argument, "not a whole number with a unit" + remedy);
+    const std::string_view name = trim({rest, static_cast<std::size_t>(end - rest)});
+    if (name.empty())
+        return failure(errc::invalid_argument, "the unit is missing" + remedy);
+    for (const unit& known : units)
+    {
+        if (known.name != name)
+            continue;
+        if (number > std::uint64_t{INT64_MAX} / known.factor)
+            return failure(errc::invalid_argument, "the number is too large" + remedy);
+        return number * known.factor;
+    }
+    return failure(errc::invalid_argument,
+                   "unknown unit '" + std::string(name) + "'" + remedy);
+}
+
+std::string join(const std::set<std::string, std::less<>>& words)
+{
+    std::string text;
+    for (const std::string& word : words)
+        text += (text.empty() ? "" : ", ") + word;
+    return text;
+}
+
+bool valid_ip(const std::string& text, bool six)
+{
+    std::array<unsigned char, sizeof(in6_addr)> binary{};
+    std::array<char, INET6_ADDRSTRLEN> canonical{};
+    const int family = six ? AF_INET6 : AF_INET;
+    return inet_pton(family, text.c_str(), binary.data()) == 1 &&
+           inet_ntop(family, binary.data(), canonical.data(), canonical.size()) !=
+               nullptr &&
+           text == canonical.data();
+}
+
+} // namespace
+
+std::string section::title() const
+{
+    std::string text = "[" + this->kind;
+    for (const std::string& name : this->names)
+        text += " " + name;
+    return text + "]";
+}
+
+void problem_list::add(std::size_t line, std::string message)
+{
+    this->found.push_back({line, std::move(message)});
+}
+
+error problem_list::to_error(std::string_view file_name) const
+{
+    std::vector<problem> sorted = this->found;
+    std::stable_sort(sorted.begin(), sorted.end(),
+                     [](const problem& left, const problem& right)
+                     { return left.line < right.line; });
+    std::string text;
+    const std::size_t shown = std::min(sorted.size(), max_problems_shown);
+    for (const problem& each : std::span(sorted).first(shown))
+    {
+        text += (text.empty() ? "" : "\n") + std::string(file_name) + ":";
+        text += std::to_string(each.line) + ": " + each.message;
+    }
+    if (sorted.size() > shown)
+        text += "\n" + std::string(file_name) + ": " +
+                std::to_string(sorted.size() - shown) +
+                " more problems; correct the first ones and check again";
+    return {make_error_code(errc::invalid_argument), std::move(text)};
+}
+
+document read_document(std::string_view text, problem_list& problems)
+{
+    if (text.size() > max_text_size)
+    {
+        problems.add(0, "the text has " + std::to_string(text.size()) +
+                            " bytes, at most " + std::to_string(max_text_size) +
+                            " are read; remove entries that are not used");
+        return {};
+    }
+    return line_source(text, problems).run();
+}
+
+fields::fields(const section& from, problem_list& problems)
+    : from(from), problems(problems)
+{
+}
+
+std::size_t fields::line_of(std::string_view key) const
+{
+    for (const entry& given : this->from.entries)
+        if (given.key == key)
+            return given.line;
+    return this->from.line;
+}
+
+void fields::finish()
+{
+    std::set<std::string, std::less<>> all = this->known;
+    all.insert(this->known_lists.begin(), this->known_lists.end());
+    std::map<std::string_view, std::size_t> first;
+    for (const entry& given : this->from.entries)
+    {
+        const auto [seen, is_first] = first.emplace(given.key, given.line);
+        if (!all.contains(given.key))
+            this->problems.add(given.line, "unknown key '" + given.key + "' in " +
+                                               this->from.title() + "; known keys are " +
+                                               join(all));
+        else if (!is_first && !this->known_lists.contains(given.key))
+            this->problems.add(given.line,
+                               "key '" + given.key + "' in " + this->from.title() +
+                                   " was given in line " + std::to_string(seen->second) +
+                                   "; remove one of the two");
+    }
+}
+
+const entry* fields::find(std::string_view key)
+{
+    this->known.emplace(key);
+    for (const entry& given : this->from.entries)
+        if (given.key == key)
+            return &given;
+    return nullptr;
+}
+
+void fields::report(const entry& given, std::string_view what)
+{
+    this->problems.add(given.line, given.key + " = '" + given.value + "' in " +
+                                       this->from.title() + ": " + std::string(what));
+}
+
+void fields::report_missing(std::string_view key)
+{
+    this->problems.add(this->from.line, "key '" + std::string(key) + "' is missing in " +
+                                            this->from.title() + "; add it");
+}
+
+result<std::string> parse_text(std::string_view value)
+{
+    if (value.empty())
+        return failure(errc::invalid_argument, "empty value; write a text");
+    return std::string(value);
+}
+
+result<std::string> parse_name(std::string_view value)
+{
+    constexpr std::string_view letters = "abcdefghijklmnopqrstuvwxyz0123456789";
+    if (value.empty() || value.size() > max_name ||
+        letters.find(value.front()) == std::string_view::npos ||
+        value.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789_.-") !=
+            std::string_view::npos)
+        return failure(errc::invalid_argument,
+                       "'" + std::string(value) +
+                           "' is not a name; use 1 to 32 of a-z, 0-9, '_', '.' and '-', "
+                           "beginning with a letter or digit");
+    return std::string(value);
+}
+
+result<duration> parse_duration(std::string_view value)
+{
+    static constexpr std::array<unit, 5> units{{{"us", 1},
+                                                {"ms", 1'000},
+                                                {"s", 1'000'000},
+                                                {"min", 60'000'000},
+                                                {"h", 3'600'000'000}}};
+    const auto parsed = parse_unit(value, units, "'250 ms', '10 s', '2 min' or '1 h'");
+    if (!parsed)
+        return parsed.error();
+    return duration(parsed.value());
+}
+
+result<std::uint64_t> parse_bytes(std::string_view value)
+{
+    static constexpr std::array<unit, 4> units{
+        {{"B", 1}, {"KiB", 1U << 10U}, {"MiB", 1U << 20U}, {"GiB", 1U << 30U}}};
+    return parse_unit(value, units, "'512 B', '64 KiB' or '8 MiB'");
+}
+
+result<std::uint64_t> parse_mbit(std::string_view value)
+{
+    static constexpr std::array<unit, 2> units{{{"Mbit/s", 1}, {"Gbit/s", 1000}}};
+    return parse_unit(value, units, "'280 Mbit/s' or '4 Gbit/s'");
+}
+
+result<double> parse_rate(std::string_view value)
+{
+    double rate = 0;
+    const char* end = value.data() + value.size();
+    const auto [rest, problem] =
+        std::from_chars(value.data(), end, rate, std::chars_format::fixed);
+    const std::string_view unit = trim({rest, static_cast<std::size_t>(end - rest)});
+    if (problem != std::errc() || !std::isfinite(rate) || unit != "/s")
+        return failure(errc::invalid_argument,
+                       "not a rate; write requests per second, for example '12/s'");
+    return rate;
+}
+
+result<std::uint64_t> parse_count(std::string_view value)
+{
+    std::uint64_t count = 0;
+    const char* end = value.data() + value.size();
+    const auto [rest, problem] = std::from_chars(value.data(), end, count);
+    if (problem != std::errc() || rest != end)
+        return failure(errc::invalid_argument,
+                       "not a whole number; write digits only, for example '12'");
+    return count;
+}
+
+result<std::string> parse_endpoint(std::string_view value)
+{
+    const std::size_t colon = value.rfind(':');
+    const std::string_view port =
+        colon == std::string_view::npos ? "" : value.substr(colon + 1);
+    std::string host(value.substr(0, colon));
+    const bool six = host.starts_with('[') && host.ends_with(']');
+    if (six)
+        host = host.substr(1, host.size() - 2);
+    const auto number = parse_count(port);
+    if (!valid_ip(host, six) || !number || number.value() < 1 ||
+        number.value() > UINT16_MAX || port.front() == '0')
+        return failure(errc::invalid_argument,
+                       "not an address; write ip:port, for example '10.0.0.1:8080' or "
+                       "'[fd00::1]:8080' in its shortest form");
+    return std::string(value);
+}
+
+std::vector<std::string> split_words(std::string_view text)
+{
+    std::vector<std::string> words;
+    std::size_t begin = text.find_first_not_of(blanks);
+    while (begin != std::string_view::npos)
+    {
+        const std::size_t end = text.find_first_of(blanks, begin);
+        words.emplace_back(text.substr(begin, end - begin));
+        begin = text.find_first_not_of(blanks, end);
+    }
+    return words;
+}
+
+} // namespace pistachiospan::ini
