--- /dev/null
+++ b/pistachiospan/store/fake_store_test.cpp
@@ -0,0 +1,135 @@
+#include "pistachiospan/store/fake_store.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace pistachiospan;
+using namespace pistachiospan::store;
+using namespace pistachiospan::store::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct setting
+{
+    fake_platform platform{{.seed = 1}};
+    fake_store vm{platform};
+    std::vector<errc> ends; // how the calls ended; ok also for a conflict
+    bool committed = false;
+
+    template <class T>
+    handler<T> record()
+    {
+        return [this](result<T> outcome)
+        {
+            ends.push_back(outcome ? errc::ok
+                                   : static_cast<errc>(outcome.error().code.value()));
+            if constexpr (std::is_same_v<T, transaction_outcome>)
+                committed = outcome && outcome.value().committed;
+        };
+    }
+
+    void write(revision expected, std::string value)
+    {
+        vm.transact({{.key = "a", .expected = expected, .value = std::move(value)}},
+                    record<transaction_outcome>());
+    }
+
+    errc run(duration span)
+    {
+        platform.advance(platform.now() + span);
+        return ends.empty() ? errc::internal_error : ends.back();
+    }
+};
+
+} // namespace
+
+// Guards against partial transactions and against a re-created row that takes a revision
+// which an older writer still expects.
+BOOST_AUTO_TEST_CASE(transactions_commit_all_or_nothing_and_revisions_never_repeat)
+{
+    memory_store data;
+    const revision first = data.transact({{.key = "a"}}).value().rows[0].rev;
+    const auto refused = data.transact({{.key = "b"}, {.key = "a"}}).value();
+    BOOST_TEST(!refused.committed);
+    BOOST_TEST(refused.rows.size() == 1U);
+    BOOST_TEST(!data.get("b").has_value());
+    const conditional_write removal{.key = "a", .expected = first, .remove = true};
+    BOOST_TEST(data.transact({removal}).value().rows[0].rev == 0U);
+    BOOST_TEST(data.transact({{.key = "a"}}).value().rows[0].rev > first);
+    BOOST_TEST(!data.transact({{.key = "x"}, {.key = "x"}}).has_value());
+    BOOST_TEST(data.scan("a").size() == 1U);
+}
+
+// Guards against reporting a write as failed that took effect, or as unknown when it
+// cannot have.
+BOOST_FIXTURE_TEST_CASE(each_fault_ends_a_write_with_its_own_error, setting)
+{
+    write(0, "1");
+    BOOST_TEST(ends.empty()); // never from within the call
+    BOOST_TEST((run(1s) == errc::ok));
+    vm.link.lose_answers = 1;
+    write(1, "2");
+    BOOST_TEST((run(2s) == errc::unknown_outcome));
+    BOOST_TEST(platform.data.get("a")->value == "2");
+    vm.link.lose_requests = 1;
+    write(2, "3");
+    BOOST_TEST((run(2s) == errc::unknown_outcome));
+    platform.service.refuse = true;
+    write(2, "4");
+    BOOST_TEST((run(2s) == errc::unavailable));
+    platform.service = {.overloaded = true};
+    write(2, "5");
+    BOOST_TEST((run(2s) == errc::limit_exceeded));
+    BOOST_TEST(platform.data.get("a")->value == "2");
+    platform.service = {.silent = true};
+    vm.list(record<std::vector<vm_entry>>());
+    BOOST_TEST((run(2s) == errc::unavailable));
+    BOOST_TEST(ends.size() == 6U);
+    BOOST_TEST(platform.counts.writes == 2U);
+}
+
+// Guards against tests that miss a slow write taking effect after its caller gave up, and
+// a connection cut between effect and answer.
+BOOST_FIXTURE_TEST_CASE(a_slow_or_cut_write_takes_effect_after_the_unknown_outcome,
+                        setting)
+{
+    vm.link.latency = 10s;
+    write(0, "late");
+    BOOST_TEST((run(1s) == errc::unknown_outcome));
+    BOOST_TEST(!platform.data.get("a").has_value());
+    run(10s);
+    BOOST_TEST(platform.data.get("a").has_value());
+    vm.link.latency = 100ms;
+    write(1, "cut");
+    run(60ms);
+    vm.link.refuse = true;
+    BOOST_TEST((run(60ms) == errc::unknown_outcome));
+    BOOST_TEST(platform.data.get("a")->value == "cut");
+    BOOST_TEST(ends.size() == 2U);
+}
+
+// Guards against handlers of a killed VM running in the test.
+BOOST_AUTO_TEST_CASE(a_destroyed_client_gets_no_answers_but_its_write_takes_effect)
+{
+    fake_platform platform;
+    auto vm = std::make_unique<fake_store>(platform);
+    vm->transact({{.key = "a"}}, [](const auto&) { BOOST_FAIL("handler called"); });
+    vm.reset();
+    platform.advance(time_point(2s));
+    BOOST_TEST(platform.data.get("a").has_value());
+}
+
+// Guards against a VM list that shows changes before its lag has passed.
+BOOST_AUTO_TEST_CASE(the_vm_list_lags)
+{
+    memory_vm_list vms;
+    vms.add(time_point(1s), {.id = {"vm-1"}});
+    BOOST_TEST(vms.mark_leaving(time_point(5s), {"vm-1"}).has_value());
+    BOOST_TEST(vms.list(time_point(2s), 2s).empty());
+    BOOST_TEST(!vms.list(time_point(6s), 2s).at(0).leaving);
+    BOOST_TEST(vms.list(time_point(7s), 2s).at(0).leaving);
+    vms.remove(time_point(8s), {"vm-1"});
+    BOOST_TEST(vms.list(time_point(9s), 2s).size() == 1U);
+    BOOST_TEST(vms.list(time_point(10s), 2s).empty());
+}
