route: add the router with slots, caps, relays and the fair queue

A data centre's VMs must never together send more requests to an upstream than it has slots, whatever measurements say. Each router owns a whole number of slots, connections and caps (round-robin deal by upstream index) and admits only against its own count. Lower limits apply at once; higher ones after the activation bound and the longest deadline, or when the caller confirms the new share. Waiting requests are served by start-time fair queueing and refused as soon as the estimated wait misses the deadline. Relays follow the headroom of peers, nearest first, within a two-bucket budget of the link between regions.

--- /dev/null
+++ b/pistachiospan/route/internal/link_budget.hpp
@@ -0,0 +1,45 @@
+// Budget of one direction of a link between regions.
+
+#ifndef PISTACHIOSPAN_ROUTE_INTERNAL_LINK_BUDGET_HPP
+#define PISTACHIOSPAN_ROUTE_INTERNAL_LINK_BUDGET_HPP
+
+#include "pistachiospan/base/base.hpp"
+
+namespace pistachiospan::route::internal
+{
+
+// Two token buckets. Large bodies use only the shared one. Small requests use the
+// reserved one first, so that uploads never take more than their part of the link.
+class link_budget
+{
+public:
+    // `rate` in bytes per second, `large_part` in (0, 1].
+    void set_rate(time_point now, double rate, double large_part);
+
+    // Takes `bytes` when the bucket has tokens; a body larger than the bucket leaves a
+    // debt that later requests wait for.
+    bool admit(time_point now, std::uint64_t bytes, bool large);
+    // Takes bytes that are sent in any case.
+    void charge(time_point now, std::uint64_t bytes);
+    // Bytes per second for large bodies.
+    std::uint64_t large_rate() const;
+    double bytes_per_second() const;
+
+private:
+    struct bucket
+    {
+        double rate = 0;
+        double tokens = 0;
+        void refill(duration passed);
+    };
+
+    void refill(time_point now);
+
+    bucket shared;
+    bucket reserved;
+    time_point refilled{};
+};
+
+} // namespace pistachiospan::route::internal
+
+#endif
--- /dev/null
+++ b/pistachiospan/route/internal/upstream_state.hpp
@@ -0,0 +1,93 @@
+// What one router knows about one upstream of its data centre.
+
+#ifndef PISTACHIOSPAN_ROUTE_INTERNAL_UPSTREAM_STATE_HPP
+#define PISTACHIOSPAN_ROUTE_INTERNAL_UPSTREAM_STATE_HPP
+
+#include "pistachiospan/route/internal/split.hpp"
+
+namespace pistachiospan::route::internal
+{
+
+struct group_state;
+
+enum class standing
+{
+    serving,
+    ejected, // no requests until `ejected_until`
+    probing, // one request at a time decides
+};
+
+// List of its group in which an upstream with a free slot stands.
+enum class listing
+{
+    none,
+    available,
+    probing,
+};
+
+struct upstream_state
+{
+    std::string address;
+    std::uint64_t ordinal = 0; // order of creation, for deterministic ties
+    group_state* group = nullptr;
+    bool present = false; // in the catalogue in force, in this data centre
+
+    // Position of this upstream's first slot in the round-robin deal over the shares.
+    std::uint64_t first_slot = 0;
+    std::uint64_t first_connection = 0;
+    std::uint32_t total_slots = 0;
+    std::uint32_t total_connections = 0;
+    duration warm_up{0};
+    held_limit slots;
+    held_limit connections;
+    std::uint32_t in_flight = 0;
+    std::uint32_t open_connections = 0;
+
+    bool catalogue_drain = false;
+    bool signalled_drain = false;
+    time_point drain_signal{};
+    std::optional<time_point> drain_began; // until the last request has ended
+
+    std::optional<time_point> warm_start; // none: warm
+    standing state = standing::serving;
+    time_point ejected_until{};
+    std::uint32_t ejections = 0; // in a row
+    std::uint32_t failures = 0;  // in a row
+    double failure_rate = 0;
+    time_point backoff_until{};
+    std::uint32_t sheds = 0; // in a row
+
+    double latency = 0; // microseconds, peak EWMA; 0: no sample
+    time_point sampled{};
+    std::optional<time_point> last_success;
+    bool reported_healthy = true;
+    double reported_load = 0;
+
+    // Derived by the router's refresh().
+    std::uint32_t limit = 0;    // requests that may run now
+    std::uint32_t capacity = 0; // part of `limit` that counts for wait estimates
+    bool member = false;        // counted in the group's members
+    listing list = listing::none;
+    std::size_t list_position = 0;
+    std::optional<time_point> wake;
+
+    bool draining() const
+    {
+        return !this->present || this->catalogue_drain || this->signalled_drain;
+    }
+
+    // Requests allowed by the progress of the warm-up. Its slots come in the order of the
+    // deal, so all VMs together begin with one.
+    std::uint32_t warm_limit(time_point now, share own) const;
+    duration warm_step() const;
+
+    // Peak EWMA: a rise counts at once, a fall with the time constant `memory`.
+    void add_latency(time_point now, duration sample, duration memory);
+    // Present estimate; falls while no request is sent, so that a slow upstream is tried
+    // again.
+    double latency_at(time_point now, duration memory) const;
+};
+
+} // namespace pistachiospan::route::internal
+
+#endif
--- /dev/null
+++ b/pistachiospan/route/route.hpp
@@ -0,0 +1,261 @@
+// Routes each request of one VM: selects an upstream of the own data centre, relays to
+// another one, queues the request or refuses it. Keeps slots, connections and caps.
+//
+// Example:
+//
+//     router steering({.data_centre = "penang-1"}, {.decided = send_or_refuse});
+//     steering.set_catalogue(now, active);
+//     steering.set_share(now, {.index = 0, .count = 2});
+//     steering.allow_growth(now);
+//     const decision first = steering.submit(now, {.id = 1, .group = "katalog", ...});
+//     steering.complete(now, 1, outcome::ok, latency);
+//
+// The router admits a request only while its own share has a free slot. The shares of
+// all VMs of a data centre sum to at most the slots, so no measurement, however stale or
+// false, leads to more requests than slots. Assumption: an upstream stops work on a
+// request at its deadline.
+
+#ifndef PISTACHIOSPAN_ROUTE_ROUTE_HPP
+#define PISTACHIOSPAN_ROUTE_ROUTE_HPP
+
+#include "pistachiospan/catalogue/catalogue.hpp"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace pistachiospan::route
+{
+
+// Chosen by the caller; unique among the requests that wait or run in one router.
+using request_id = std::uint64_t;
+
+struct request
+{
+    request_id id = 0;
+    std::string account; // name of the client account; empty on open routes
+    std::string route;
+    std::string group;
+    time_point deadline;
+    bool idempotent = false;
+    std::uint64_t body_size = 0;       // bytes
+    std::vector<std::string> excluded; // upstream addresses and VM ids not to use
+    bool relayed = false;              // came from another daemon: is not relayed again
+};
+
+enum class decision_kind
+{
+    dispatched, // send to `upstream`; the slot is held until complete()
+    relayed,    // send to the daemon `peer`, which decides for its data centre
+    queued,     // the hook `decided` gets the final decision
+    refused,    // not run; `reason` and `retry_after` say why and until when
+};
+
+enum class refusal
+{
+    none,
+    unknown_group,      // the catalogue in force has no such group
+    duplicate_id,       // a request with this id waits or runs
+    no_upstream,        // neither a usable upstream here nor a reachable peer
+    account_queue_full, // bound on the waiting requests or bytes of one account
+    queue_full,         // bound on all waiting requests or bytes
+    deadline_too_near,  // the estimated wait and service exceed the deadline
+};
+
+std::string_view name_of(refusal reason) noexcept;
+
+struct decision
+{
+    decision_kind kind = decision_kind::refused;
+    std::string upstream;    // dispatched: address
+    std::string data_centre; // relayed: data centre of the peer
+    vm_id peer;              // relayed: daemon that admits or refuses
+    // Relayed bodies over the bound on large bodies: bytes per second at which the body
+    // may be sent. 0: no bound.
+    std::uint64_t pace = 0;
+    refusal reason = refusal::none;
+    duration retry_after{0}; // refused: earliest time at which a retry can succeed
+};
+
+enum class outcome
+{
+    ok,
+    failed,    // error, timeout or broken connection
+    shed,      // the upstream or the relaying peer refused it as not run
+    cancelled, // the caller left; the upstream may still work on it
+    not_sent,  // no byte was written; frees the slot at once
+};
+
+// This VM's part of its data centre: `index` in [0, count). Count 0 owns nothing.
+struct share
+{
+    std::uint32_t index = 0;
+    std::uint32_t count = 0;
+    bool operator==(const share&) const = default;
+};
+
+// What an upstream says about itself. Advisory: own observations take precedence.
+struct upstream_report
+{
+    bool healthy = true;
+    bool draining = false; // trusted: the upstream receives no new work from now on
+    double load = 0;       // 0 (idle) to 1 (full)
+};
+
+// Free slots of a group at one VM.
+struct group_load
+{
+    std::string group;
+    std::uint32_t free = 0;
+};
+
+// What a heartbeat of another VM says.
+struct peer_report
+{
+    vm_id vm;
+    std::string data_centre;
+    bool draining = false;
+    std::vector<group_load> groups;
+    duration age{0}; // time since the peer took the figures
+};
+
+struct router_options
+{
+    std::string data_centre; // of this VM
+    std::uint64_t seed = 1;
+
+    // Bounds of the queue.
+    std::uint32_t account_requests = 256;
+    std::uint64_t account_bytes = std::uint64_t{8} << 20;
+    std::uint32_t total_requests = 2048;
+    std::uint64_t total_bytes = std::uint64_t{16} << 20;
+    bool fair = true; // false: first in, first out over all accounts (baseline)
+
+    // Time constant of the latency average. Rises are taken over at once.
+    duration latency_memory = std::chrono::seconds(10);
+    duration initial_service = std::chrono::milliseconds(20); // before the first sample
+
+    // Outlier ejection. The floor is the part of a group that stays in use.
+    std::uint32_t failures_in_a_row = 5;
+    double failure_rate = 0.5; // average over about 16 answers
+    double ejection_floor = 0.5;
+    duration ejection = std::chrono::seconds(1); // doubles with each failed probe
+    duration max_ejection = std::chrono::seconds(30);
+
+    duration shed_backoff = std::chrono::milliseconds(100); // doubles while it sheds
+    duration max_shed_backoff = std::chrono::seconds(2);
+
+    // Reported ill health counts only without an own success in this time.
+    duration report_outranked = std::chrono::seconds(2);
+
+    // After its deadline a request without a confirmed end holds its slot this long:
+    // one-way latency plus the upstream's time to stop.
+    duration hold_after_deadline = std::chrono::milliseconds(100);
+
+    // Bound on the activation of a version everywhere. Limits that a new version raises
+    // apply this long plus the longest deadline of a route later, because other VMs may
+    // still use the old split until then.
+    duration activation = std::chrono::seconds(12);
+
+    // Headroom of a peer falls linearly to nothing at this age.
+    duration stale_headroom = std::chrono::seconds(3);
+    // Requests sent this long before a peer took its figures may not be in them.
+    duration report_transit = std::chrono::milliseconds(20);
+
+    // Link budget: bodies over this size use at most half of a link.
+    std::uint64_t large_body = std::uint64_t{64} << 10;
+    double large_part = 0.5; // 1 takes the reserve of small requests away (baseline)
+    std::uint64_t request_overhead = 1024; // bytes of a request besides its body
+};
+
+struct router_hooks
+{
+    // The final decision on a queued request. May call the router.
+    std::function<void(request_id, const decision&)> decided = nullptr;
+    // The last request of a drained upstream ended, this long after the drain began.
+    std::function<void(const std::string& upstream, duration drain_time)> drained =
+        nullptr;
+};
+
+struct router_counts
+{
+    std::uint64_t dispatched = 0;
+    std::uint64_t relayed = 0;
+    std::uint64_t queued = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t ejections = 0;
+    std::uint64_t lost = 0;      // requests without a completion by their deadline
+    std::uint64_t waiting = 0;   // now
+    std::uint64_t in_flight = 0; // now, on own upstreams
+};
+
+// For explanations and metrics.
+struct upstream_view
+{
+    std::string address;
+    std::uint32_t in_flight = 0;
+    std::uint32_t limit = 0; // requests that this VM may have there now
+    std::uint32_t connections = 0;
+    std::uint32_t connection_limit = 0;
+    bool draining = false;
+    bool ejected = false;
+    duration latency{0};
+};
+
+class router
+{
+public:
+    router(router_options options, router_hooks hooks);
+    ~router();
+    router(router&&) noexcept;
+    router& operator=(router&&) noexcept;
+
+    // Puts a version of the catalogue in force. Reduced limits, drains and removals apply
+    // at once, raised limits after `activation` and the longest deadline. Upstreams added
+    // after the first version begin with one slot.
+    void set_catalogue(time_point now, const catalogue::catalogue& next);
+
+    // Shrinks to the new share at once for new work; never grows. A new router owns
+    // nothing. Call allow_growth() when each other VM that shrank has settled.
+    void set_share(time_point now, share next);
+    void allow_growth(time_point now);
+    // True when no upstream has more requests or connections than the share allows.
+    bool share_settled() const;
+
+    decision submit(time_point now, request incoming);
+
+    // Ends a request. `retry_after` is the back-off that a shedding upstream asked for. A
+    // cancelled request holds its slot until connection_closed() or its deadline. Ids
+    // that are not known (late or repeated completions) are ignored.
+    void complete(time_point now, request_id id, outcome how, duration latency,
+                  duration retry_after = duration(0));
+    // The upstream's side of the connection of a cancelled request has ended.
+    void connection_closed(time_point now, request_id id);
+
+    // Counts a new connection to an upstream; false: the share of connections is used up.
+    bool open_connection(std::string_view upstream);
+    void close_connection(std::string_view upstream);
+
+    // Dispatches and expires. Call at least each 50 ms while requests wait.
+    void tick(time_point now);
+
+    void observe(time_point now, std::string_view upstream, const upstream_report& said);
+    void observe_peer(time_point now, const peer_report& said);
+    void drain(time_point now, std::string_view upstream);
+
+    // Charges bytes sent to another region outside of submit(): answers to relays.
+    void charge_link(time_point now, std::string_view to_region, std::uint64_t bytes);
+
+    // Free slots of each group, for heartbeats.
+    std::vector<group_load> headroom(time_point now);
+    router_counts counts() const;
+    std::vector<upstream_view> upstreams(time_point now) const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> self;
+};
+
+} // namespace pistachiospan::route
+
+#endif
