Widen the replay window of peer messages to 8,192

Cause: a relayed body of several MB is overtaken by far more than 64 small messages on other streams, and would have been refused as replayed. Change: a ring of 8,192 bits for each peer that has sent something (1 KiB). Measured: the new test passes over three times the window, half of it out of order.

--- a/pistachiospan/wire/wire.cpp
+++ b/pistachiospan/wire/wire.cpp
@@ -6,9 +6,6 @@
 namespace
 {
 
-// Sequence numbers below highest - replay_window are refused as replayed.
-constexpr std::uint64_t replay_window = 64;
-
 std::string authenticated_part(const vm_id& to, const nlohmann::json& fields)
 {
     const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(fields);
@@ -81,27 +78,35 @@
 
 bool opener::accept_sequence(const message& received)
 {
-    const auto known = this->peers.find(received.from);
-    peer_state state = known == this->peers.end() ? peer_state{} : known->second;
-    if (received.from_incarnation < state.newest)
+    std::unique_ptr<peer_state>& state = this->peers[received.from];
+    if (!state)
+        state = std::make_unique<peer_state>();
+    if (received.from_incarnation < state->newest)
         return false;
-    if (received.from_incarnation > state.newest)
-        state = peer_state{.newest = received.from_incarnation};
-    if (received.sequence > state.highest)
-    {
-        const std::uint64_t step = received.sequence - state.highest;
-        state.window = step >= replay_window ? 0 : state.window << step;
-        state.window |= 1U;
-        state.highest = received.sequence;
-    }
-    else
+    if (received.from_incarnation > state->newest)
+        *state = peer_state{.newest = received.from_incarnation};
+    return mark_seen(*state, received.sequence);
+}
+
+// Returns false for a sequence number that was seen or is older than the window.
+bool opener::mark_seen(peer_state& state, std::uint64_t sequence)
+{
+    if (sequence > state.highest)
     {
-        const std::uint64_t age = state.highest - received.sequence;
-        if (age >= replay_window || ((state.window >> age) & 1U) != 0)
-            return false;
-        state.window |= std::uint64_t{1} << age;
+        const std::uint64_t skipped = sequence - state.highest;
+        if (skipped >= replay_window)
+            state.seen.reset();
+        else
+            for (std::uint64_t next = state.highest + 1; next < sequence; ++next)
+                state.seen.reset(next % replay_window);
+        state.highest = sequence;
+        state.seen.set(sequence % replay_window);
+        return true;
     }
-    this->peers[received.from] = state;
+    const std::size_t bit = sequence % replay_window;
+    if (state.highest - sequence >= replay_window || state.seen.test(bit))
+        return false;
+    state.seen.set(bit);
     return true;
 }
 
--- a/pistachiospan/wire/wire.hpp
+++ b/pistachiospan/wire/wire.hpp
@@ -12,7 +12,9 @@
 
 #include "pistachiospan/base/base.hpp"
 
+#include <bitset>
 #include <map>
+#include <memory>
 
 namespace pistachiospan::wire
 {
@@ -20,6 +22,10 @@
 // Largest sealed message, in bytes.
 inline constexpr std::size_t max_message_size = std::size_t{256} * 1024;
 
+// Messages that may be overtaken by others before they are refused as replayed. Bodies of
+// several MB are overtaken by thousands of small messages on other streams.
+inline constexpr std::size_t replay_window = 8192;
+
 // Body of a message as each library encodes it (to_json/from_json of a typed struct).
 using body = nlohmann::json;
 
@@ -77,14 +83,16 @@
     {
         incarnation newest = 0;
         std::uint64_t highest = 0;
-        std::uint64_t window = 0; // bit i: sequence highest - i was seen
+        // Bit s modulo the size: sequence s was seen. Covers the newest replay_window.
+        std::bitset<replay_window> seen;
     };
 
     result<message> decode(std::string_view bytes) const;
     bool accept_sequence(const message& received);
+    static bool mark_seen(peer_state& state, std::uint64_t sequence);
 
     opener_options options;
-    std::map<vm_id, peer_state> peers;
+    std::map<vm_id, std::unique_ptr<peer_state>> peers;
     std::uint64_t refused_count = 0;
 };
 
--- a/pistachiospan/wire/wire_test.cpp
+++ b/pistachiospan/wire/wire_test.cpp
@@ -44,6 +44,25 @@
     BOOST_TEST(!in.open(first).has_value());
 }
 
+// Guards against a window that forgets: after wrapping around, numbers that were skipped
+// are still accepted once, and all seen ones are refused.
+BOOST_FIXTURE_TEST_CASE(the_replay_window_is_exact_over_its_whole_size, pair)
+{
+    std::vector<std::string> sent;
+    for (std::size_t i = 0; i < 3 * wire::replay_window; ++i)
+        sent.push_back(out.seal({"vm-2"}, "m", i));
+    for (std::size_t i = 0; i < sent.size(); i += 2)
+        BOOST_REQUIRE(in.open(sent[i]).has_value());
+    const std::size_t newest = sent.size() - 2;
+    for (std::size_t i = 1; i < sent.size(); i += 2)
+    {
+        const bool in_window = i > newest || newest - i < wire::replay_window;
+        BOOST_REQUIRE(in.open(sent[i]).has_value() == in_window);
+        BOOST_REQUIRE(!in.open(sent[i]).has_value());
+        BOOST_REQUIRE(!in.open(sent[i - 1]).has_value());
+    }
+}
+
 // Guards against a message of a replaced process taking effect late.
 BOOST_FIXTURE_TEST_CASE(a_message_of_an_earlier_incarnation_is_refused, pair)
 {
