--- /dev/null
+++ b/pistachiospan/store_http/store_http.cpp
@@ -0,0 +1,129 @@
+#include "pistachiospan/store_http/store_http.hpp"
+
+#include "pistachiospan/store_http/internal/http_client.hpp"
+#include "pistachiospan/store_http/internal/protocol.hpp"
+
+#include <cstdlib>
+
+namespace pistachiospan::store
+{
+
+namespace
+{
+
+std::string encode(const std::string& text)
+{
+    char* const encoded = evhttp_uriencode(
+        text.data(), static_cast<ev_ssize_t>(text.size()), /*space_to_plus=*/0);
+    if (encoded == nullptr)
+        throw std::bad_alloc();
+    std::string copy(encoded);
+    std::free(encoded);
+    return copy;
+}
+
+// Decodes the body of an answer; `malformed` is the error of one that has another form.
+template <class Answer>
+result<Answer> parse(result<std::string> body, errc malformed)
+{
+    if (!body)
+        return body.error();
+    try
+    {
+        return nlohmann::json::parse(body.value()).get<Answer>();
+    }
+    catch (const nlohmann::json::exception& problem)
+    {
+        return failure(malformed, std::string("malformed answer of the platform: ") +
+                                      problem.what() + "; check its address and release");
+    }
+}
+
+// Calls `done` with one member of a decoded answer to a read.
+template <class Answer, class T>
+internal::http_handler member_of(T Answer::*member, handler<T> done)
+{
+    return [member, done = std::move(done)](result<std::string> body)
+    {
+        result<Answer> answer = parse<Answer>(std::move(body), errc::unavailable);
+        if (answer)
+            done(std::move(answer.value().*member));
+        else
+            done(answer.error());
+    };
+}
+
+} // namespace
+
+http_platform::http_platform(event_base* base, http_platform_options options)
+    : client(std::make_unique<internal::http_client>(base, std::move(options)))
+{
+}
+
+http_platform::~http_platform() = default;
+
+void http_platform::get(std::string key, handler<std::optional<row>> done)
+{
+    this->client->call({.target = "/table/row?key=" + encode(key)},
+                       member_of(&internal::row_answer::found, std::move(done)));
+}
+
+void http_platform::scan(std::string prefix, handler<std::vector<row>> done)
+{
+    this->client->call({.target = "/table/scan?prefix=" + encode(prefix)},
+                       member_of(&internal::rows_answer::rows, std::move(done)));
+}
+
+void http_platform::transact(std::vector<conditional_write> writes,
+                             handler<transaction_outcome> done)
+{
+    auto finish = [done = std::move(done)](result<std::string> body)
+    {
+        done(parse<transaction_outcome>(std::move(body), errc::unknown_outcome));
+    };
+    try
+    {
+        const nlohmann::json body = internal::transact_request{std::move(writes)};
+        internal::http_request request{.method = EVHTTP_REQ_POST,
+                                       .target = "/table/transact",
+                                       .body = body.dump(),
+                                       .write = true};
+        this->client->call(std::move(request), std::move(finish));
+    }
+    catch (const nlohmann::json::exception& problem)
+    {
+        this->client->refuse({make_error_code(errc::invalid_argument),
+                              std::string("rows must be UTF-8: ") + problem.what() +
+                                  "; encode the value as text"},
+                             std::move(finish));
+    }
+}
+
+void http_platform::put(std::string name, std::string bytes, handler<bool> done)
+{
+    auto finish = [done = std::move(done)](result<std::string> body)
+    {
+        if (body)
+            done(true);
+        else
+            done(body.error());
+    };
+    this->client->call({.method = EVHTTP_REQ_PUT,
+                        .target = "/objects/" + encode(name),
+                        .body = std::move(bytes),
+                        .write = true},
+                       std::move(finish));
+}
+
+void http_platform::get(std::string name, handler<std::string> done)
+{
+    this->client->call({.target = "/objects/" + encode(name)}, std::move(done));
+}
+
+void http_platform::list(handler<std::vector<vm_entry>> done)
+{
+    this->client->call({.target = "/vms"},
+                       member_of(&internal::vms_answer::vms, std::move(done)));
+}
+
+} // namespace pistachiospan::store
