Add the process settings

Settings are read with the strict INI layer; secrets and pasted keys are left out of refusals. find_account_by_hash lets a request that is checked three times pay for one HMAC.

--- a/pistachiospan/catalogue/catalogue.cpp
+++ b/pistachiospan/catalogue/catalogue.cpp
@@ -144,12 +144,16 @@
 {
     if (key.empty() || key.size() > max_key_size)
         return nullptr;
-    const std::string hash = hash_key(this->key_salt, key);
+    return this->find_account_by_hash(hash_key(this->key_salt, key));
+}
+
+const client_account* catalogue::find_account_by_hash(std::string_view hash) const
+{
     if (this->index.account_by_hash.empty())
         return search_accounts(this->accounts, hash);
     // The position in the table depends on the keyed hash only, which a caller can
     // neither choose nor learn without the salt.
-    const auto found = this->index.account_by_hash.find(hash);
+    const auto found = this->index.account_by_hash.find(std::string(hash));
     if (found == this->index.account_by_hash.end())
         return nullptr;
     const auto account = this->accounts.find(found->second);
--- a/pistachiospan/catalogue/catalogue.hpp
+++ b/pistachiospan/catalogue/catalogue.hpp
@@ -131,6 +131,10 @@
     // matches: one HMAC, one look-up by its value, comparison in constant time.
     const client_account* find_account(std::string_view key) const;
 
+    // The same for hash_key(key_salt, key), so that a request that is checked several
+    // times needs one HMAC. A hash made with an earlier salt is not found.
+    const client_account* find_account_by_hash(std::string_view hash) const;
+
     // Prepares find_route and find_account; parse_catalogue does so. Without it, both
     // search all entries. To be called again after a change of `accounts` or `routes`.
     void build_index();
--- a/pistachiospan/catalogue/catalogue_test.cpp
+++ b/pistachiospan/catalogue/catalogue_test.cpp
@@ -178,6 +178,14 @@
     }
 }
 
+// Guards against a key that was pasted in place of its hash being shown or logged.
+BOOST_AUTO_TEST_CASE(a_refusal_does_not_repeat_a_key)
+{
+    const std::string message = refusal(with(hash_key(salt, "third"), "very-secret"));
+    BOOST_TEST(message.find("key_hash in [client_account south]") != std::string::npos);
+    BOOST_TEST(message.find("very-secret") == std::string::npos);
+}
+
 // Guards against an operator having to check once for each mistake.
 BOOST_AUTO_TEST_CASE(all_problems_are_reported_in_the_order_of_the_lines)
 {
--- a/pistachiospan/catalogue/parse.cpp
+++ b/pistachiospan/catalogue/parse.cpp
@@ -184,6 +184,7 @@
         fields from(part, this->problems);
         from.required("name", this->made.name, ini::parse_name);
         from.required("owner", this->made.owner, ini::parse_text);
+        from.hide("key_salt");
         from.required("key_salt", this->made.key_salt, parse_salt);
         this->has_shares = from.optional("rate_shares", this->made.rate_shares,
                                          count<std::uint32_t>(1, 10000, "1 to 10000"));
@@ -260,6 +261,7 @@
         // Below one request a bucket never holds a whole token, so nothing is admitted.
         from.required("burst", made.burst, count<double>(1, 1e6, "1 to 1000000"));
         from.optional("weight", made.weight, count<std::uint32_t>(1, 1000, "1 to 1000"));
+        from.hide("key_hash"); // a key may have been written by mistake
         from.each("key_hash",
                   [&](const entry& given) { return this->take_hash(made, given); });
         from.finish();
--- a/pistachiospan/ini/ini.cpp
+++ b/pistachiospan/ini/ini.cpp
@@ -7,7 +7,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
-#include <cstring>
+#include <fstream>
 
 namespace pistachiospan::ini
 {
@@ -292,6 +292,23 @@
     return {make_error_code(errc::invalid_argument), std::move(text)};
 }
 
+result<std::string> read_file(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::string text(max_text_size + 1, '\0');
+    if (file)
+        file.read(text.data(), static_cast<std::streamsize>(text.size()));
+    if (!file.is_open() || file.bad() || (file.fail() && !file.eof()))
+        return failure(errc::not_found, path + ": the file can't be read; check its name "
+                                               "and permissions");
+    text.resize(static_cast<std::size_t>(file.gcount()));
+    if (text.size() > max_text_size)
+        return failure(errc::limit_exceeded, path + ": the file has more than " +
+                                                 std::to_string(max_text_size) +
+                                                 " bytes; check its name");
+    return text;
+}
+
 document read_document(std::string_view text, problem_list& problems)
 {
     if (text.size() > max_text_size)
@@ -309,6 +326,13 @@
 {
 }
 
+bool fields::has(std::string_view key) const
+{
+    const auto& entries = this->from.entries;
+    return std::any_of(entries.begin(), entries.end(),
+                       [&](const entry& given) { return given.key == key; });
+}
+
 std::size_t fields::line_of(std::string_view key) const
 {
     for (const entry& given : this->from.entries)
@@ -346,10 +370,18 @@
     return nullptr;
 }
 
+void fields::hide(std::string_view key)
+{
+    this->hidden.emplace(key);
+}
+
 void fields::report(const entry& given, std::string_view what)
 {
-    this->problems.add(given.line, given.key + " = '" + given.value + "' in " +
-                                       this->from.title() + ": " + std::string(what));
+    const bool secret = this->hidden.contains(given.key);
+    std::string message = given.key;
+    message += secret ? "" : " = '" + given.value + "'";
+    message += " in " + this->from.title() + ": ";
+    this->problems.add(given.line, message.append(what));
 }
 
 void fields::report_missing(std::string_view key)
--- a/pistachiospan/ini/ini.hpp
+++ b/pistachiospan/ini/ini.hpp
@@ -53,6 +53,9 @@
     std::vector<section> sections;
 };
 
+// Whole content of a file of at most max_text_size bytes.
+result<std::string> read_file(const std::string& path);
+
 // Collects what is wrong with a text.
 class problem_list
 {
@@ -89,6 +92,9 @@
 public:
     fields(const section& from, problem_list& problems);
 
+    // Leaves the value of a key out of messages, since it may be a secret.
+    void hide(std::string_view key);
+
     // Both return whether the section has the key with a valid value.
     template <class T, class Parse>
     bool required(std::string_view key, T& target, Parse parse)
@@ -129,6 +135,8 @@
         }
     }
 
+    bool has(std::string_view key) const;
+
     // Line of the key, or of the heading when the key is absent.
     std::size_t line_of(std::string_view key) const;
 
@@ -144,6 +152,7 @@
     problem_list& problems;
     std::set<std::string, std::less<>> known;
     std::set<std::string, std::less<>> known_lists;
+    std::set<std::string, std::less<>> hidden;
 };
 
 // Values. The error message of each says what is accepted.
--- /dev/null
+++ b/pistachiospan/settings/settings.cpp
@@ -0,0 +1,209 @@
+#include "pistachiospan/settings/settings.hpp"
+
+#include "pistachiospan/ini/ini.hpp"
+
+#include <array>
+#include <set>
+
+namespace pistachiospan::settings
+{
+
+namespace
+{
+
+using ini::fields;
+using ini::problem_list;
+using ini::section;
+
+constexpr std::size_t min_secret_size = 16;
+
+result<std::string> parse_secret(std::string_view value)
+{
+    if (value.size() < min_secret_size)
+        return failure(errc::invalid_argument,
+                       "the secret is too short; write at least 16 characters, or "
+                       "'secret_hex' with at least 32 hexadecimal digits");
+    return std::string(value);
+}
+
+result<std::string> parse_hex_secret(std::string_view value)
+{
+    if (value.size() < 2 * min_secret_size || value.size() % 2 != 0 ||
+        value.find_first_not_of("0123456789abcdefABCDEF") != std::string_view::npos)
+        return failure(errc::invalid_argument,
+                       "not a secret in hexadecimal; write an even number of at least "
+                       "32 digits, for example from 'openssl rand -hex 32'");
+    std::string bytes;
+    for (std::size_t at = 0; at < value.size(); at += 2)
+        bytes.push_back(
+            static_cast<char>(std::stoi(std::string(value.substr(at, 2)), nullptr, 16)));
+    return bytes;
+}
+
+result<log_level> parse_level(std::string_view value)
+{
+    static constexpr std::array<std::pair<std::string_view, log_level>, 5> levels{
+        {{"trace", log_level::trace},
+         {"debug", log_level::debug},
+         {"info", log_level::info},
+         {"warn", log_level::warn},
+         {"error", log_level::error}}};
+    for (const auto& [name, level] : levels)
+        if (name == value)
+            return level;
+    return failure(errc::invalid_argument,
+                   "unknown level; write 'trace', 'debug', 'info', 'warn' or 'error'");
+}
+
+auto span_of_time(duration least, std::string_view bounds)
+{
+    return ini::within<duration>(ini::parse_duration, least, std::chrono::hours(1),
+                                 bounds);
+}
+
+class reader
+{
+public:
+    explicit reader(problem_list& problems) : problems(problems) {}
+
+    settings read(const ini::document& text)
+    {
+        const std::map<std::string_view, void (reader::*)(fields&)> readers = {
+            {"vm", &reader::read_vm},
+            {"listen", &reader::read_listen},
+            {"platform", &reader::read_platform},
+            {"peers", &reader::read_peers},
+            {"limits", &reader::read_limits},
+            {"log", &reader::read_log},
+            {"random", &reader::read_random}};
+        std::set<std::string_view> seen;
+        for (const section& part : text.sections)
+        {
+            const auto found = readers.find(part.kind);
+            if (found == readers.end() || !part.names.empty())
+            {
+                this->problems.add(part.line,
+                                   "unknown section " + part.title() +
+                                       "; known sections are [vm], [listen], "
+                                       "[platform], [peers], [limits], [log], [random]");
+                continue;
+            }
+            seen.insert(part.kind);
+            fields from(part, this->problems);
+            (this->*found->second)(from);
+            from.finish();
+        }
+        for (const std::string_view needed : {"vm", "listen", "platform", "peers"})
+            if (!seen.contains(needed))
+                this->problems.add(0, "section [" + std::string(needed) +
+                                          "] is missing; add it");
+        return std::move(this->made);
+    }
+
+private:
+    void read_vm(fields& from)
+    {
+        from.required("id", this->made.id.value, ini::parse_name);
+        from.required("data_centre", this->made.data_centre, ini::parse_name);
+        from.required("region", this->made.region, ini::parse_name);
+    }
+
+    void read_listen(fields& from)
+    {
+        from.required("callers", this->made.callers, ini::parse_endpoint);
+        from.required("peers", this->made.peers, ini::parse_endpoint);
+        if (!this->made.peers.empty() && this->made.callers == this->made.peers)
+            this->problems.add(from.line_of("peers"),
+                               "callers and peers have the same address " +
+                                   this->made.peers + "; give each its own port");
+    }
+
+    void read_platform(fields& from)
+    {
+        from.required("address", this->made.platform_address, ini::parse_endpoint);
+        from.optional("timeout", this->made.platform_timeout,
+                      span_of_time(std::chrono::milliseconds(10), "10 ms to 1 h"));
+    }
+
+    void read_peers(fields& from)
+    {
+        from.hide("secret");
+        from.hide("secret_hex");
+        from.optional("secret", this->made.peer_secret, parse_secret);
+        from.optional("secret_hex", this->made.peer_secret, parse_hex_secret);
+        if (from.has("secret") == from.has("secret_hex"))
+            this->problems.add(from.line_of("secret_hex"),
+                               "[peers] needs either 'secret' or 'secret_hex'; write "
+                               "exactly one of them");
+        std::map<std::string, std::size_t> lines;
+        from.each("seed",
+                  [&](const ini::entry& given) -> result<bool>
+                  { return this->take_seed(given, lines); });
+    }
+
+    result<bool> take_seed(const ini::entry& given,
+                           std::map<std::string, std::size_t>& lines)
+    {
+        auto address = ini::parse_endpoint(given.value);
+        if (!address)
+            return address.error();
+        const auto [seen, is_new] = lines.emplace(address.value(), given.line);
+        if (!is_new)
+            return failure(errc::invalid_argument, "this address was given in line " +
+                                                       std::to_string(seen->second) +
+                                                       "; remove one of the two");
+        this->made.seeds.push_back(std::move(address).value());
+        return true;
+    }
+
+    void read_limits(fields& from)
+    {
+        from.optional("max_header", this->made.max_header,
+                      ini::within<std::uint64_t>(ini::parse_bytes, 1024, 1 << 20,
+                                                 "1 KiB to 1 MiB"));
+        from.optional(
+            "max_connections", this->made.max_connections,
+            ini::within<std::uint32_t>(ini::parse_count, 1, 1'000'000, "1 to 1000000"));
+        from.optional("idle_timeout", this->made.idle_timeout,
+                      span_of_time(std::chrono::seconds(1), "1 s to 1 h"));
+        from.optional("header_timeout", this->made.header_timeout,
+                      span_of_time(std::chrono::milliseconds(100), "100 ms to 1 h"));
+    }
+
+    void read_log(fields& from)
+    {
+        from.optional("level", this->made.level, parse_level);
+    }
+
+    void read_random(fields& from)
+    {
+        std::uint64_t seed = 0;
+        if (from.optional("seed", seed, ini::parse_count))
+            this->made.seed = seed;
+    }
+
+    problem_list& problems;
+    settings made;
+};
+
+} // namespace
+
+result<settings> parse_settings(std::string_view text, std::string_view file_name)
+{
+    problem_list problems;
+    const ini::document read = ini::read_document(text, problems);
+    settings made = reader(problems).read(read);
+    if (!problems.empty())
+        return problems.to_error(file_name);
+    return made;
+}
+
+result<settings> load_settings(const std::string& path)
+{
+    const auto text = ini::read_file(path);
+    if (!text)
+        return text.error();
+    return parse_settings(text.value(), path);
+}
+
+} // namespace pistachiospan::settings
