Add membership and propagation of the catalogue between VMs

Cause: the daemon needs a live view of its peers, and a catalogue that reaches every VM within 12 s, also where the store is unreachable.

Change: pistachiospan/member holds the view (VM list, heartbeats with echo, live/suspect/gone with damping). pistachiospan/config holds the versions: one store poller per data centre, texts and line-based differences between peers, activation by majority or after 2 s, freshness evidence, may_serve. A fleet of both objects over a simulated network and store drives the tests.

The evidence counts from the time of the newest own message that the peer echoes, so that a message delayed by the network does not make an old confirmation look new.

With store_region set, `majority` also needs a majority of that region (a_majority_without_the_store_region_refuses).

Found by the tests: differences built in one process used signed numbers and did not apply; non-pollers went on polling when their phase never saw a newer confirmation within one second.

--- /dev/null
+++ b/pistachiospan/config/config_test.cpp
@@ -0,0 +1,300 @@
+#include "pistachiospan/config/config.hpp"
+#include "pistachiospan/config/internal/simulated_fleet.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace pistachiospan;
+using namespace pistachiospan::config;
+using namespace pistachiospan::config::internal;
+using catalogue::unconfirmed_policy;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+// Bound on the time from an accepted edit to its activation everywhere.
+constexpr duration in_force_bound = seconds(12);
+// Time after which a revoked key is refused under `refuse`: confirm_within plus drift.
+constexpr duration revoked_bound = milliseconds(5100);
+
+simulation_options nine_vms(std::uint64_t seed)
+{
+    return {.data_centres = {{"a1", "a", 2},
+                             {"a2", "a", 1},
+                             {"b1", "b", 2},
+                             {"b2", "b", 1},
+                             {"c1", "c", 2},
+                             {"c2", "c", 1}},
+            .seed = seed};
+}
+
+simulation_options twenty_vms(std::uint64_t seed)
+{
+    return {.data_centres = {{"a1", "a", 12}, {"b1", "b", 7}, {"c1", "c", 1}},
+            .seed = seed};
+}
+
+std::string text_of(std::uint64_t number)
+{
+    std::string text = "[catalogue]\n";
+    for (std::uint64_t entry = 0; entry < 200; ++entry)
+        text += "[client_account " + std::to_string(entry) +
+                "]\nrate = " + std::to_string(entry == number % 200 ? number : 1) + "\n";
+    return text;
+}
+
+bool in_region(const simulated_vm& vm, std::string_view region)
+{
+    return vm.entry.region == region;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(differences_restore_every_text)
+{
+    const bool held =
+        rc::check("apply_difference(make_difference)",
+                  [](const std::string& before)
+                  {
+                      const auto lines = *rc::gen::container<std::vector<std::string>>(
+                          rc::gen::element<std::string>("a\n", "b\n", "\n", "c", before));
+                      std::string after;
+                      for (const std::string& line : lines)
+                          after += line;
+                      const auto restored =
+                          apply_difference(before, make_difference(before, after));
+                      RC_ASSERT(restored.has_value());
+                      RC_ASSERT(restored.value() == after);
+                  });
+    BOOST_TEST(held);
+    const std::string before = text_of(1);
+    const nlohmann::json difference = make_difference(before, text_of(2));
+    BOOST_TEST(difference.dump().size() < 100U);
+    BOOST_TEST(!apply_difference("one line\n", difference).has_value());
+    BOOST_TEST(!apply_difference(before, {{"x", 1}}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(an_edit_is_in_force_everywhere_within_the_bound)
+{
+    for (const simulation_options& options : {nine_vms(1), twenty_vms(2)})
+    {
+        simulated_fleet fleet(options);
+        fleet.run(seconds(15));
+        BOOST_TEST(fleet.in_force_everywhere());
+        for (std::uint64_t number = 1; number < 10; ++number)
+        {
+            fleet.edit(text_of(number));
+            fleet.run(in_force_bound);
+            BOOST_TEST(fleet.in_force_everywhere());
+        }
+        for (std::size_t index = 0; index < fleet.size(); ++index)
+            BOOST_TEST(fleet.may_serve(index, unconfirmed_policy::refuse).serve);
+    }
+}
+
+// Guards against a region that stays behind because only its store access is broken.
+BOOST_AUTO_TEST_CASE(a_region_without_the_store_follows_through_its_peers)
+{
+    for (const simulation_options& options : {nine_vms(3), twenty_vms(4)})
+    {
+        simulated_fleet fleet(options);
+        fleet.run(seconds(15));
+        fleet.store_outage([](const simulated_vm& vm) { return in_region(vm, "b"); });
+        for (std::uint64_t number = 1; number < 5; ++number)
+        {
+            fleet.edit(text_of(number));
+            fleet.run(in_force_bound);
+            BOOST_TEST(fleet.in_force_everywhere());
+        }
+        for (std::size_t index = 0; index < fleet.size(); ++index)
+            BOOST_TEST(fleet.may_serve(index, unconfirmed_policy::refuse).serve);
+    }
+}
+
+// Guards against serving a revoked key while the VM cannot know of the revocation.
+BOOST_AUTO_TEST_CASE(a_cut_off_vm_stops_serving_keys_within_the_bound)
+{
+    simulated_fleet fleet(nine_vms(5));
+    fleet.run(seconds(15));
+    const auto alone = [](const simulated_vm& vm)
+    {
+        return vm.index == 0;
+    };
+    fleet.store_outage(alone);
+    fleet.partition([alone](const simulated_vm& from, const simulated_vm& to)
+                    { return alone(from) != alone(to); });
+    const catalogue_version before = fleet.vm(0).in_force;
+    fleet.edit(text_of(1));
+    fleet.run(revoked_bound);
+    BOOST_TEST(fleet.vm(0).in_force == before);
+    BOOST_TEST(!fleet.may_serve(0, unconfirmed_policy::refuse).serve);
+    BOOST_TEST(fleet.may_serve(0, unconfirmed_policy::serve).serve);
+    BOOST_TEST(fleet.may_serve(1, unconfirmed_policy::refuse).serve);
+    fleet.partition({});
+    fleet.store_outage({});
+    fleet.run(in_force_bound);
+    BOOST_TEST(fleet.in_force_everywhere());
+    BOOST_TEST(fleet.may_serve(0, unconfirmed_policy::refuse).serve);
+}
+
+// Guards against mistaking "I am cut off" for "the store is down for all".
+BOOST_AUTO_TEST_CASE(majority_serves_in_an_outage_and_refuses_in_a_minority)
+{
+    simulated_fleet fleet(nine_vms(6));
+    fleet.run(seconds(15));
+    fleet.store_outage([](const simulated_vm&) { return true; });
+    fleet.run(seconds(30));
+    for (std::size_t index = 0; index < fleet.size(); ++index)
+    {
+        BOOST_TEST(!fleet.may_serve(index, unconfirmed_policy::refuse).serve);
+        BOOST_TEST((fleet.may_serve(index, unconfirmed_policy::majority).reason ==
+                    admission_reason::majority_reachable));
+    }
+    fleet.partition([](const simulated_vm& from, const simulated_vm& to)
+                    { return in_region(from, "c") != in_region(to, "c"); });
+    fleet.run(seconds(10));
+    for (std::size_t index = 0; index < fleet.size(); ++index)
+        BOOST_TEST(fleet.may_serve(index, unconfirmed_policy::majority).serve ==
+                   !in_region(fleet.vm(index), "c"));
+}
+
+// Guards against a majority that is cut off from a store that still accepts edits: six of
+// nine VMs see each other, and the store works inside the third region.
+BOOST_AUTO_TEST_CASE(a_majority_without_the_store_region_refuses)
+{
+    simulation_options options = nine_vms(7);
+    options.store_region = "c";
+    simulated_fleet fleet(options);
+    fleet.run(seconds(15));
+    fleet.store_outage([](const simulated_vm& vm) { return !in_region(vm, "c"); });
+    fleet.partition([](const simulated_vm& from, const simulated_vm& to)
+                    { return in_region(from, "c") != in_region(to, "c"); });
+    fleet.edit(text_of(1));
+    fleet.run(seconds(10));
+    for (std::size_t index = 0; index < fleet.size(); ++index)
+        BOOST_TEST(fleet.may_serve(index, unconfirmed_policy::majority).serve ==
+                   in_region(fleet.vm(index), "c"));
+}
+
+// Guards against an empty VM that takes an old version from its neighbour: VM 1 was cut
+// off with version 1 and is the only peer of its data centre that VM 0 sees at first.
+BOOST_AUTO_TEST_CASE(an_empty_vm_does_not_take_an_older_version_from_one_peer)
+{
+    simulated_fleet fleet(nine_vms(8));
+    fleet.run(seconds(15));
+    const auto old = [](const simulated_vm& vm)
+    {
+        return vm.index <= 1;
+    };
+    fleet.store_outage([](const simulated_vm& vm) { return vm.index == 1; });
+    fleet.partition([](const simulated_vm& from, const simulated_vm& to)
+                    { return (from.index == 1) != (to.index == 1); });
+    fleet.edit(text_of(1));
+    fleet.run(in_force_bound);
+    BOOST_TEST(fleet.vm(0).in_force == 2U);
+    BOOST_TEST(fleet.vm(1).in_force == 1U);
+    fleet.kill(0);
+    fleet.store_outage([](const simulated_vm&) { return true; });
+    fleet.partition([old](const simulated_vm& from, const simulated_vm& to)
+                    { return old(from) != old(to); });
+    fleet.start(0);
+    fleet.run(seconds(60));
+    BOOST_TEST(fleet.vm(0).in_force == 0U);
+    BOOST_TEST(!fleet.may_serve(0, unconfirmed_policy::serve).serve);
+    fleet.partition({});
+    fleet.run(seconds(30));
+    BOOST_TEST(fleet.vm(0).in_force == 2U);
+    BOOST_TEST(fleet.in_force_everywhere());
+    BOOST_TEST(!fleet.any_went_back());
+}
+
+// Guards against an error on the way that changes the text: every difference sent by a
+// peer is corrupted, so the text must come in full.
+BOOST_AUTO_TEST_CASE(corrupted_differences_are_detected)
+{
+    simulated_fleet fleet(nine_vms(9));
+    fleet.edit(text_of(1));
+    fleet.run(seconds(15));
+    fleet.tamper(
+        [](std::string_view type, wire::body& content)
+        {
+            if (type != offer_type || !content.at(6).is_array())
+                return;
+            for (nlohmann::json& difference : content[6])
+                difference.push_back("rate = 100000\n");
+        });
+    fleet.edit(text_of(2));
+    fleet.run(in_force_bound);
+    std::uint64_t failures = 0;
+    for (std::size_t index = 0; index < fleet.size(); ++index)
+    {
+        BOOST_TEST(fleet.vm(index).config->held_text() == fleet.text());
+        failures += fleet.vm(index).config->statistics().digest_failures;
+    }
+    BOOST_TEST(failures > 0U);
+    BOOST_TEST(fleet.in_force_everywhere());
+}
+
+// Guards against an unusable difference in the change log and a text over the size of a
+// message.
+BOOST_AUTO_TEST_CASE(large_texts_travel_in_parts)
+{
+    simulated_fleet fleet(nine_vms(10));
+    fleet.run(seconds(15));
+    std::string text = "[catalogue]\n";
+    while (text.size() < 900'000)
+        text += "[client_account " + std::to_string(text.size()) + "]\n";
+    fleet.edit_without_difference(text);
+    fleet.run(in_force_bound);
+    BOOST_TEST(fleet.in_force_everywhere());
+    fleet.start(4);
+    fleet.run(in_force_bound);
+    BOOST_TEST(fleet.vm(4).config->held_text() == text);
+}
+
+// Guards against a refused catalogue that affects the version in force, or that blocks
+// later versions.
+BOOST_AUTO_TEST_CASE(a_catalogue_that_does_not_parse_is_held_and_reported)
+{
+    simulated_fleet fleet(nine_vms(11));
+    fleet.set_parse(
+        [](catalogue_version, std::string_view text) -> result<void>
+        {
+            if (text.starts_with("!"))
+                return failure(errc::invalid_argument, "line 1: unknown section");
+            return boost::outcome_v2::success();
+        });
+    fleet.run(seconds(15));
+    const catalogue_version refused = fleet.edit("!");
+    fleet.run(in_force_bound);
+    for (std::size_t index = 0; index < fleet.size(); ++index)
+    {
+        BOOST_TEST(fleet.vm(index).config->held_version() == refused);
+        BOOST_TEST(fleet.vm(index).in_force == refused - 1);
+        BOOST_TEST(fleet.vm(index).reports.size() == 1U);
+        BOOST_TEST(fleet.may_serve(index, unconfirmed_policy::refuse).serve);
+    }
+    fleet.edit(text_of(1));
+    fleet.run(in_force_bound);
+    BOOST_TEST(fleet.in_force_everywhere());
+}
+
+// Guards against an edit that stays unknown when only the operator reaches the store.
+BOOST_AUTO_TEST_CASE(an_edit_posted_by_the_operator_spreads_without_the_store)
+{
+    simulated_fleet fleet(twenty_vms(12));
+    fleet.run(seconds(15));
+    fleet.store_outage([](const simulated_vm&) { return true; });
+    const std::string text = text_of(1);
+    const catalogue_version version = fleet.edit(text);
+    replica& reached = *fleet.vm(3).config;
+    BOOST_TEST(!reached.offer(fleet.now(), version, "wrong digest", text).has_value());
+    BOOST_TEST(reached.offer(fleet.now(), version, simulated_fleet::digest(text), text)
+                   .has_value());
+    BOOST_TEST(!reached.offer(fleet.now(), version, simulated_fleet::digest(text), text)
+                    .has_value());
+    fleet.run(in_force_bound);
+    BOOST_TEST(fleet.in_force_everywhere());
+}
