--- a/pistachiospan/catalogue/catalogue_test.cpp
+++ b/pistachiospan/catalogue/catalogue_test.cpp
@@ -1,7 +1,10 @@
 #include "pistachiospan/catalogue/catalogue.hpp"
+#include "pistachiospan/ini/ini.hpp"
 
 #include <boost/test/unit_test.hpp>
 
+#include <fstream>
+
 using namespace pistachiospan;
 using namespace pistachiospan::catalogue;
 
@@ -323,3 +326,32 @@
                with("9001 @ a-1", "9001 @ a-1 drain ; x"));
     BOOST_TEST(!set_drain_mark(base_text(), "127.0.0.1:9003", true).has_value());
 }
+
+// Guards against examples that the parser refuses or whose test keys don't work.
+BOOST_AUTO_TEST_CASE(the_examples_are_accepted_and_their_test_keys_work)
+{
+    for (const std::string name : {"kilat-loceng", "louche"})
+    {
+        const std::string directory =
+            std::string(PISTACHIOSPAN_SOURCE_DIR) + "/examples/" + name + "/";
+        const auto text = ini::read_file(directory + "catalogue.ini");
+        BOOST_REQUIRE(text.has_value());
+        BOOST_TEST(refusal(text.value()) == "accepted");
+        const auto read = parse_catalogue(text.value(), name).value();
+        BOOST_TEST(read.data_centres.size() == 6U);
+        BOOST_TEST(read.accounts.size() == 8U);
+        std::ifstream keys(directory + "test-keys.txt");
+        std::string account;
+        std::string key;
+        std::size_t found = 0;
+        while (keys >> account >> std::ws && std::getline(keys, key))
+        {
+            if (account == "#")
+                continue;
+            BOOST_REQUIRE(read.find_account(key) != nullptr);
+            BOOST_TEST(read.find_account(key)->name == account);
+            ++found;
+        }
+        BOOST_TEST(found == 10U);
+    }
+}
--- a/pistachiospan/settings/settings_test.cpp
+++ b/pistachiospan/settings/settings_test.cpp
@@ -117,3 +117,18 @@
     BOOST_TEST(parsed.error().message.find("secret in [peers]") != std::string::npos);
     BOOST_TEST(parsed.error().message.find("hunter2") == std::string::npos);
 }
+
+// Guards against examples that a daemon would refuse to start with.
+BOOST_AUTO_TEST_CASE(the_examples_are_accepted)
+{
+    for (const std::string name : {"kilat-loceng", "louche"})
+        for (int vm = 1; vm <= 9; ++vm)
+        {
+            const std::string file = "vm-" + std::to_string(vm) + ".ini";
+            std::string path = PISTACHIOSPAN_SOURCE_DIR "/examples/";
+            path.append(name).append("/settings/").append(file);
+            const auto read = load_settings(path);
+            BOOST_REQUIRE(read.has_value());
+            BOOST_TEST(read.value().id.value + ".ini" == file);
+        }
+}
