Add at-most-once execution with a primary and a backup for each shard

The primary of a shard sends each intent to the backup and permits the execution after the acknowledgement of the same view. Views are rows of the store, written only by conditional write.

Issued keys carry their epoch and run in no other one, because a cut-off pair may still execute. Keys chosen by callers are refused by the successors for the time in which a cut-off pair executes them plus the retention time.

--- /dev/null
+++ b/pistachiospan/once/executor.cpp
@@ -0,0 +1,75 @@
+#include "pistachiospan/once/internal/engine.hpp"
+
+namespace pistachiospan::once
+{
+
+std::uint64_t fingerprint(std::string_view method, std::string_view path,
+                          std::string_view body)
+{
+    return hash_bytes(body, hash_bytes(path, hash_bytes(method)));
+}
+
+executor::executor(options opts, store::table& table, hooks outputs)
+    : self(std::make_unique<engine>(std::move(opts), table, std::move(outputs)))
+{
+}
+
+executor::~executor() = default;
+
+void executor::begin(time_point now, const request& asked, decision_handler done)
+{
+    this->self->begin(now, asked, std::move(done));
+}
+
+void executor::finish(time_point now, attempt_id attempt, outcome result)
+{
+    this->self->finish(now, attempt, std::move(result));
+}
+
+void executor::tick(time_point now)
+{
+    this->self->tick(now);
+}
+
+void executor::receive(time_point now, const vm_id& from, std::string_view type,
+                       const wire::body& body)
+{
+    this->self->receive(now, from, type, body);
+}
+
+void executor::peers(time_point now, std::vector<peer> known)
+{
+    this->self->peers(now, std::move(known));
+}
+
+void executor::leave(time_point now)
+{
+    this->self->leave(now);
+}
+
+bool executor::left() const
+{
+    return this->self->left();
+}
+
+std::optional<std::string> executor::issue_key(wall_time wall)
+{
+    return this->self->issue_key(wall);
+}
+
+std::size_t executor::record_count() const
+{
+    return this->self->records_held;
+}
+
+std::size_t executor::primary_count() const
+{
+    return this->self->primary_count();
+}
+
+const counters& executor::totals() const
+{
+    return this->self->total;
+}
+
+} // namespace pistachiospan::once
--- /dev/null
+++ b/pistachiospan/once/once_test.cpp
@@ -0,0 +1,343 @@
+#include "pistachiospan/once/internal/test_support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace pistachiospan;
+using namespace pistachiospan::once;
+using namespace pistachiospan::once::test;
+
+namespace
+{
+
+// What happened to one key, as the upstream and the caller see it.
+struct operation
+{
+    std::string key;
+    std::uint64_t print = 0;
+    int runs = 0;
+    std::set<std::pair<std::size_t, attempt_id>> in_flight; // permitted, not yet over
+    int begun = 0;
+    bool done = false;
+};
+
+struct upstream_faults
+{
+    double refuses = 0.1; // before running
+    double loses = 0.1;   // the answer, after running
+};
+
+// Callers that repeat their requests through any VM, and an upstream that counts runs.
+struct workload
+{
+    fleet& vms;
+    upstream_faults faults;
+    std::map<std::string, operation> operations;
+    std::vector<std::string> violations;
+    std::map<std::string, int> answers; // by verdict and code
+    duration upstream_time = 20ms;
+    int repeats = 12;
+
+    void violation(const operation& of, std::string_view what)
+    {
+        this->violations.push_back(of.key + ": " + std::string(what));
+    }
+
+    void forward(operation& of, std::size_t at, attempt_id attempt)
+    {
+        const incarnation started = this->vms.nodes[at].started;
+        const std::pair running{at * 1000 + started, attempt};
+        of.in_flight.insert(running);
+        // The process may be paused or killed between the permission and the write.
+        this->vms.on_node(
+            at, duration(this->vms.below(3000)),
+            [this, &of, at, attempt, running]
+            {
+                const bool refused = this->vms.rows.chance(this->faults.refuses);
+                const bool lost = this->vms.rows.chance(this->faults.loses);
+                if (!refused && ++of.runs > 1)
+                    this->violation(of, "ran twice");
+                outcome result{.status = 200, .body = of.key};
+                if (refused)
+                    result = {.kind = outcome_kind::not_run};
+                else if (lost)
+                    result = {.kind = outcome_kind::unknown};
+                if (refused)
+                    of.in_flight.erase(running);
+                this->vms.on_node(at, this->upstream_time,
+                                  [this, &of, at, attempt, result, running]
+                                  {
+                                      of.in_flight.erase(running);
+                                      this->vms.nodes[at].once->finish(
+                                          this->vms.local(at), attempt, result);
+                                  });
+            });
+        // A killed process forwards nothing any more.
+        this->vms.clock.after(5s,
+                              [this, &of, at, started, running]
+                              {
+                                  const node& each = this->vms.nodes[at];
+                                  if (!each.alive || each.started != started)
+                                      of.in_flight.erase(running);
+                              });
+    }
+
+    void on_decision(operation& of, std::size_t at, bool relayed, const decision& made)
+    {
+        if (made.what == verdict::execute)
+        {
+            this->forward(of, at, made.attempt);
+            this->repeat_later(of);
+        }
+        if (made.what == verdict::replay)
+        {
+            of.done = true;
+            if (of.runs != 1)
+                this->violation(of, "replayed an answer without a run");
+            if (made.recorded.body != of.key)
+                this->violation(of, "replayed another answer");
+        }
+        if (made.what == verdict::refuse && made.refused.run == ran::no &&
+            (of.runs > 0 || !of.in_flight.empty()))
+            this->violation(of, "ran: no is untrue, " + made.refused.code);
+        if (made.what == verdict::refuse)
+            this->repeat_later(of);
+        if (made.what == verdict::relay && !relayed)
+        {
+            const auto to =
+                static_cast<std::size_t>(std::stoul(made.relay_to.value.substr(3)));
+            if (!this->vms.blocked[at][to])
+                this->vms.on_node(to, 3ms,
+                                  [this, &of, to] { this->begin(of, to, true); });
+            this->repeat_later(of);
+        }
+        static const char* const names[] = {"execute", "relay", "replay", "refuse"};
+        std::string name = names[static_cast<int>(made.what)];
+        if (made.what == verdict::refuse)
+            name += " " + made.refused.code + (made.refused.run == ran::no ? " no" : "");
+        ++this->answers[name];
+    }
+
+    void begin(operation& of, std::size_t at, bool relayed)
+    {
+        const auto called = std::make_shared<int>(0);
+        const time_point now = this->vms.local(at);
+        this->vms.nodes[at].once->begin(
+            now,
+            {.account = "north",
+             .key = of.key,
+             .fingerprint = of.print,
+             .deadline = now + 3s,
+             .relayed = relayed,
+             .wall = this->vms.wall(at)},
+            [this, &of, at, relayed, called](const decision& made)
+            {
+                if (++*called > 1)
+                    this->violation(of, "answered twice");
+                this->on_decision(of, at, relayed, made);
+            });
+    }
+
+    // The caller sends the request, now and again, through any VM that accepts it.
+    void call(operation& of)
+    {
+        const auto at = static_cast<std::size_t>(
+            this->vms.below(static_cast<std::int64_t>(this->vms.nodes.size())));
+        ++of.begun;
+        this->vms.on_node(at, 1ms, [this, &of, at] { this->begin(of, at, false); });
+        if (!this->vms.nodes[at].alive)
+            this->repeat_later(of);
+    }
+
+    void repeat_later(operation& of)
+    {
+        if (of.begun >= this->repeats)
+            return;
+        ++of.begun;
+        this->vms.clock.after(duration(this->vms.below(900'000)),
+                              [this, &of] { call(of); });
+    }
+
+    operation& create(const std::string& key)
+    {
+        operation& made = this->operations[key];
+        made.key = key;
+        made.print = hash_bytes(key);
+        return made;
+    }
+
+    // One new request, with a key of the caller or one issued by a VM.
+    void add()
+    {
+        const auto at = static_cast<std::size_t>(
+            this->vms.below(static_cast<std::int64_t>(this->vms.nodes.size())));
+        std::string key = "caller-" + std::to_string(this->operations.size());
+        const node& issuer = this->vms.nodes[at];
+        if (issuer.alive && this->vms.below(2) == 0)
+            key = issuer.once->issue_key(this->vms.wall(at)).value_or(key);
+        operation& made = this->create(key);
+        this->call(made);
+        if (this->vms.below(4) == 0)
+            this->call(made); // the same request twice at once
+    }
+
+    int total_runs() const
+    {
+        int runs = 0;
+        for (const auto& [key, each] : this->operations)
+            runs += each.runs;
+        return runs;
+    }
+};
+
+// Short times, so that a schedule of 40 s contains expiry, takeovers and long cuts.
+options short_times()
+{
+    return {.retention = 15s,
+            .unconfirmed_limit = 6s,
+            .key_lifetime = 12s,
+            .ack_timeout = 300ms,
+            .promise = 600ms,
+            .failover_delay = 300ms,
+            .lost_delay = 2s,
+            .store_timeout = 1s,
+            .scan_interval = 1s,
+            .balance_interval = 3s};
+}
+
+// One random fault, which ends after a random time.
+void inject(fleet& vms)
+{
+    const auto count = static_cast<std::int64_t>(vms.nodes.size());
+    const auto one = static_cast<std::size_t>(vms.below(count));
+    const auto two = static_cast<std::size_t>(vms.below(count));
+    const duration length(vms.below(6'000'000));
+    const auto cut = [&vms](std::size_t from, std::size_t to, bool blocked)
+    {
+        if (from != to)
+            vms.blocked[from][to] = blocked;
+    };
+    switch (vms.below(9))
+    {
+    case 0:
+    case 1:
+        if (!vms.nodes[one].alive)
+            break;
+        vms.kill(one);
+        vms.clock.after(length / 2, [&vms, one] { vms.start(one); });
+        break;
+    case 2:
+        vms.nodes[one].paused_until = vms.clock.now + length;
+        break;
+    case 3:
+        cut(one, two, true);
+        vms.clock.after(length, [=] { cut(one, two, false); });
+        break;
+    case 4: // one VM, cut off from all others and from the store
+        for (std::size_t other = 0; other < vms.nodes.size(); ++other)
+        {
+            cut(one, other, true);
+            cut(other, one, true);
+            vms.clock.after(length,
+                            [=]
+                            {
+                                cut(one, other, false);
+                                cut(other, one, false);
+                            });
+        }
+        vms.cut_from_store[one] = vms.below(2) == 0;
+        vms.clock.after(length, [&vms, one] { vms.cut_from_store[one] = false; });
+        break;
+    case 5: // two VMs that still reach each other
+        for (std::size_t other = 0; other < vms.nodes.size(); ++other)
+        {
+            for (const std::size_t inside : {one, two})
+            {
+                const bool across = other != one && other != two;
+                if (!across)
+                    continue;
+                cut(inside, other, true);
+                cut(other, inside, true);
+                vms.clock.after(2 * length,
+                                [=]
+                                {
+                                    cut(inside, other, false);
+                                    cut(other, inside, false);
+                                });
+            }
+        }
+        vms.cut_from_store[one] = vms.cut_from_store[two] = true;
+        vms.clock.after(2 * length, [&vms, one, two]
+                        { vms.cut_from_store[one] = vms.cut_from_store[two] = false; });
+        break;
+    case 6:
+        vms.fault.store_down = true;
+        vms.clock.after(length, [&vms] { vms.fault.store_down = false; });
+        break;
+    case 7:
+        vms.fault.store_lost = 0.5;
+        vms.fault.store_delay = duration(vms.below(400'000));
+        vms.clock.after(length,
+                        [&vms]
+                        {
+                            vms.fault.store_lost = 0;
+                            vms.fault.store_delay = 4ms;
+                        });
+        break;
+    default:
+        vms.fault.message_loss = 0.2;
+        vms.fault.message_copy = 0.2;
+        vms.fault.message_tail = 0.2;
+        vms.clock.after(length,
+                        [&vms]
+                        {
+                            vms.fault.message_loss = 0;
+                            vms.fault.message_copy = 0;
+                            vms.fault.message_tail = 0;
+                        });
+    }
+}
+
+} // namespace
+
+// Guards against a second run of a key and an untrue "ran: no" under any mix of kills,
+// pauses, partitions, lost, late and doubled messages and store faults.
+BOOST_AUTO_TEST_CASE(no_key_runs_twice_under_random_faults)
+{
+    const char* const first_text = std::getenv("ONCE_SEED");
+    const char* const count_text = std::getenv("ONCE_SEEDS");
+    const std::uint64_t first = first_text != nullptr ? std::stoull(first_text) : 1;
+    const std::uint64_t count = count_text != nullptr ? std::stoull(count_text) : 100;
+    std::map<std::string, int> answers;
+    int runs = 0;
+    for (std::uint64_t seed = first; seed < first + count; ++seed)
+    {
+        fleet vms({.nodes = 3 + seed % 3,
+                   .centres = 2 + seed % 2,
+                   .seed = seed,
+                   .tick = 50ms,
+                   .suspect = 800ms,
+                   .drifting_clocks = true,
+                   .each = short_times()});
+        workload load{.vms = vms};
+        vms.run_for(4s);
+        for (int step = 0; step < 60; ++step)
+        {
+            if (step % 4 == 0 && step < 48)
+                inject(vms);
+            for (int request = 0; request < 4; ++request)
+                load.add();
+            vms.run_for(500ms);
+        }
+        for (const std::string& each : load.violations)
+            BOOST_ERROR("seed " << seed << ": " << each);
+        for (const auto& [name, number] : load.answers)
+            answers[name] += number;
+        runs += load.total_runs();
+    }
+    for (const auto& [name, number] : answers)
+        BOOST_TEST_MESSAGE(name << ": " << number);
+    BOOST_TEST_MESSAGE("runs: " << runs);
+    BOOST_TEST(runs > 0);
+}
