--- a/standin/common/event.cpp
+++ b/standin/common/event.cpp
@@ -33,7 +33,11 @@
 {
     // A cut connection ends in a write error instead of the end of the process.
     std::signal(SIGPIPE, SIG_IGN);
-    event_owner<event_base> base(event_base_new());
+    // Without the flag, timers have a resolution of 1 ms.
+    const std::unique_ptr<event_config, decltype(&event_config_free)> config(
+        event_config_new(), &event_config_free);
+    event_config_set_flag(config.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
+    event_owner<event_base> base(event_base_new_with_config(config.get()));
     if (!base)
         throw std::runtime_error("no event loop; check the limit of open files");
     return base;
--- a/standin/common/http_server.cpp
+++ b/standin/common/http_server.cpp
@@ -1,5 +1,7 @@
 #include "standin/common/http_server.hpp"
 
+#include "standin/common/answer.hpp"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
@@ -16,8 +18,6 @@
 {
 
 constexpr ev_ssize_t max_header = ev_ssize_t{16} * 1024; // bytes
-constexpr std::size_t filler_block_size = std::size_t{64} * 1024;
-constexpr int letters = 26;
 
 constexpr std::array<std::pair<evhttp_cmd_type, const char*>, 7> methods = {{
     {EVHTTP_REQ_GET, "GET"},
@@ -29,30 +29,6 @@
     {EVHTTP_REQ_OPTIONS, "OPTIONS"},
 }};
 
-const std::string& filler_block(char letter)
-{
-    static const std::vector<std::string> blocks = []
-    {
-        std::vector<std::string> made;
-        made.reserve(letters);
-        for (int at = 0; at < letters; ++at)
-            made.emplace_back(filler_block_size, static_cast<char>('a' + at));
-        return made;
-    }();
-    return blocks.at(static_cast<std::size_t>(letter - 'a'));
-}
-
-void add_filler(evbuffer* output, char letter, std::uint64_t count)
-{
-    const std::string& block = filler_block(letter);
-    while (count > 0)
-    {
-        const std::size_t part = std::min<std::uint64_t>(count, block.size());
-        evbuffer_add_reference(output, block.data(), part, nullptr, nullptr);
-        count -= part;
-    }
-}
-
 std::string decode(const char* text)
 {
     if (text == nullptr)
@@ -141,6 +117,13 @@
     return copy;
 }
 
+void exchange::discard_body()
+{
+    if (this->open())
+        evbuffer_drain(evhttp_request_get_input_buffer(this->request),
+                       this->body_bytes());
+}
+
 bool exchange::open() const
 {
     return this->request != nullptr;
@@ -205,9 +188,12 @@
 
 void exchange::closed()
 {
+    // The hook may release the last owner of this exchange.
+    const exchange_ptr keep = this->shared_from_this();
+    const std::function<void()> todo = std::exchange(this->on_close, nullptr);
     this->request = nullptr;
-    if (this->on_close)
-        this->on_close();
+    if (todo)
+        todo();
 }
 
 http_server::http_server(event_base* base, http_server_options options,
--- a/standin/common/http_server.hpp
+++ b/standin/common/http_server.hpp
@@ -51,6 +51,8 @@
     // Requests of several megabytes stay in evhttp's buffer; read only the needed part.
     std::uint64_t body_bytes() const;
     std::string body(std::size_t most = std::string::npos) const;
+    // Frees the memory of the body before the answer.
+    void discard_body();
 
     // False once answered, dropped or closed by the caller.
     bool open() const;
