Test single failures of once and prove refusals of a full VM

The full-VM test answered 'ran: unknown' for a key that never ran: an idle shard has no promise of its backup. A refusal for lack of room now asks the backup for a promise first.

--- /dev/null
+++ b/pistachiospan/once/failure_test.cpp
@@ -0,0 +1,354 @@
+#include "pistachiospan/once/internal/test_support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace pistachiospan;
+using namespace pistachiospan::once;
+using namespace pistachiospan::once::test;
+
+namespace
+{
+
+fleet_options settings(std::size_t nodes, std::size_t centres, options each = {})
+{
+    return {.nodes = nodes, .centres = centres, .seed = 7, .each = std::move(each)};
+}
+
+struct answer
+{
+    std::size_t at = 0; // VM that decided
+    std::optional<decision> made;
+
+    std::string text() const
+    {
+        if (!this->made)
+            return "none";
+        if (this->made->what == verdict::execute)
+            return "execute";
+        if (this->made->what == verdict::replay)
+            return "replay " + this->made->recorded.body;
+        if (this->made->what == verdict::relay)
+            return "relay";
+        const refusal& why = this->made->refused;
+        return why.code + (why.run == ran::no ? " no" : " unknown");
+    }
+};
+
+// A fleet to which single requests are sent.
+struct request_fleet : fleet
+{
+    explicit request_fleet(const fleet_options& given) : fleet(given)
+    {
+        this->run_for(6s); // the shards are claimed
+    }
+
+    answer begin(std::size_t at, const std::string& key, std::uint64_t print,
+                 bool relayed)
+    {
+        const auto made = std::make_shared<std::optional<decision>>();
+        this->nodes[at].once->begin(this->local(at),
+                                    {.account = "north",
+                                     .key = key,
+                                     .fingerprint = print,
+                                     .deadline = this->local(at) + 2s,
+                                     .relayed = relayed,
+                                     .wall = this->wall(at)},
+                                    [made](decision each) { *made = std::move(each); });
+        for (int step = 0; step < 250 && !*made; ++step)
+            this->run_for(10ms);
+        return {.at = at, .made = *made};
+    }
+
+    // Sends a request and follows a relay.
+    answer ask(std::size_t at, const std::string& key, std::uint64_t print = 1)
+    {
+        answer first = this->begin(at, key, print, false);
+        if (first.text() != "relay")
+            return first;
+        return this->begin(index_of(first.made->relay_to), key, print, true);
+    }
+
+    void finish(const answer& permitted, outcome result)
+    {
+        this->nodes[permitted.at].once->finish(
+            this->local(permitted.at), permitted.made->attempt, std::move(result));
+    }
+
+    // Sends a request and records an answer.
+    std::size_t complete(std::size_t at, const std::string& key)
+    {
+        const answer permitted = this->ask(at, key);
+        BOOST_REQUIRE_EQUAL(permitted.text(), "execute");
+        this->finish(permitted, {.status = 201, .body = "done " + key});
+        return permitted.at;
+    }
+
+    static std::size_t index_of(const vm_id& id)
+    {
+        return std::stoul(id.value.substr(3));
+    }
+
+    // The backup of the key's shard is the other VM in a fleet of two.
+    void separate(std::size_t one, std::size_t two, bool blocked)
+    {
+        this->blocked[one][two] = blocked;
+        this->blocked[two][one] = blocked;
+    }
+
+    // A key of the caller whose primary is the given VM.
+    std::string key_at(std::size_t vm, const std::string& prefix)
+    {
+        for (int number = 0;; ++number)
+        {
+            std::string key = prefix + std::to_string(number);
+            const answer first = this->ask(vm, key);
+            if (first.text() == "execute" && first.at == vm)
+            {
+                this->finish(first, {.kind = outcome_kind::not_run});
+                this->run_for(50ms);
+                return key;
+            }
+            if (first.text() == "execute")
+                this->finish(first, {.kind = outcome_kind::not_run});
+        }
+    }
+
+    std::size_t primaries() const
+    {
+        std::size_t count = 0;
+        for (const node& each : this->nodes)
+            count += each.alive ? each.once->primary_count() : 0;
+        return count;
+    }
+};
+
+} // namespace
+
+// Guards against records that are lost with a VM: the answer is replayed through any VM
+// after the primary has died, and after its successor has died too.
+BOOST_AUTO_TEST_CASE(an_outcome_survives_two_vms_that_die_one_after_another)
+{
+    request_fleet vms(settings(4, 2));
+    const std::size_t first = vms.complete(0, "order-1");
+    vms.run_for(1s);
+    vms.kill(first);
+    vms.run_for(10s);
+    const std::size_t other = (first + 1) % 4;
+    const answer second = vms.ask(other, "order-1");
+    BOOST_TEST(second.text() == "replay done order-1");
+    vms.kill(second.at);
+    vms.run_for(10s);
+    const std::size_t last = vms.nodes[other].alive ? other : (first + 2) % 4;
+    BOOST_TEST(vms.ask(last, "order-1").text() == "replay done order-1");
+}
+
+// Guards against an untrue "ran: no" of a primary that is cut off from the backup and
+// does not know that the backup runs the key in a newer view.
+BOOST_AUTO_TEST_CASE(a_superseded_primary_does_not_say_not_run)
+{
+    request_fleet vms(settings(2, 2));
+    const std::string key = vms.key_at(0, "claim-");
+    vms.separate(0, 1, true);
+    vms.cut_from_store[0] = true;
+    BOOST_TEST(vms.ask(0, key + "x").text() != "execute");
+    vms.run_for(10s);
+    const answer permitted = vms.ask(1, key);
+    BOOST_TEST(permitted.text() == "execute");
+    BOOST_TEST(permitted.at == 1U);
+    BOOST_TEST(vms.ask(0, key).text() == "shard_unavailable unknown");
+}
+
+// Guards against a key that stays blocked, or runs twice, after the upstream refused it.
+BOOST_AUTO_TEST_CASE(a_refused_request_frees_its_key)
+{
+    request_fleet vms(settings(3, 3));
+    const answer permitted = vms.ask(0, "order-1");
+    BOOST_REQUIRE_EQUAL(permitted.text(), "execute");
+    BOOST_TEST(vms.ask(1, "order-1").text() == "in_progress unknown");
+    vms.finish(permitted, {.kind = outcome_kind::not_run});
+    const answer again = vms.ask(2, "order-1");
+    BOOST_TEST(again.text() == "execute");
+    vms.finish(permitted, {.status = 200, .body = "late"}); // ended before: no effect
+    vms.finish(again, {.kind = outcome_kind::unknown});
+    BOOST_TEST(vms.ask(1, "order-1").text() == "outcome_unknown unknown");
+}
+
+// Guards against a key that is used for two different requests, and against answers that
+// fill the memory.
+BOOST_AUTO_TEST_CASE(other_requests_are_refused_and_large_bodies_are_not_kept)
+{
+    request_fleet vms(settings(3, 3));
+    const answer permitted = vms.ask(0, "order-1", 1);
+    vms.finish(permitted, {.status = 200,
+                           .headers = {{"Content-Type", "text/plain"},
+                                       {"X-Large", std::string(2000, 'h')}},
+                           .body = std::string(20'000, 'b')});
+    BOOST_TEST(vms.ask(1, "order-1", 2).text() == "key_reused no");
+    const answer replayed = vms.ask(1, "order-1", 1);
+    BOOST_REQUIRE_EQUAL(replayed.text(), "replay ");
+    BOOST_TEST(!replayed.made->recorded.body_kept);
+    BOOST_TEST(replayed.made->recorded.headers.size() == 1U);
+    BOOST_TEST(vms.ask(0, std::string(300, 'k')).text() == "invalid_key no");
+    BOOST_TEST(vms.ask(0, "p1-1-1-1-forged-0123").text() == "invalid_key no");
+}
+
+// Guards against forgetting a record early when the memory is full, and against a record
+// that expires while its request still runs.
+BOOST_AUTO_TEST_CASE(a_full_vm_refuses_and_keeps_its_records)
+{
+    request_fleet vms(settings(2, 2, {.retention = 60s, .max_records = 20}));
+    const answer running = vms.ask(0, "running");
+    BOOST_REQUIRE_EQUAL(running.text(), "execute");
+    for (int number = 1; number < 20; ++number)
+        vms.complete(0, "order-" + std::to_string(number));
+    BOOST_TEST(vms.ask(0, "one-more").text() == "records_full no");
+    BOOST_TEST(vms.ask(1, "order-1").text() == "replay done order-1");
+    vms.run_for(130s);
+    BOOST_TEST(vms.ask(0, "running").text() == "in_progress unknown");
+    BOOST_TEST(vms.ask(0, "one-more").text() == "execute");
+    vms.kill(running.at);
+    vms.run_for(10s);
+    BOOST_TEST(vms.ask(1 - running.at, "running").text() == "outcome_unknown unknown");
+}
+
+// Guards against keys that run again after both members of a shard were lost, and against
+// refusing issued keys that are new.
+BOOST_AUTO_TEST_CASE(issued_keys_are_exact_after_the_loss_of_both_members)
+{
+    request_fleet vms(settings(3, 3, {.retention = 60s, .unconfirmed_limit = 60s}));
+    const std::string old_key = vms.nodes[0].once->issue_key(vms.wall(0)).value();
+    vms.complete(0, old_key);
+    vms.complete(0, "caller-1");
+    for (std::size_t each = 0; each < 3; ++each)
+    {
+        vms.kill(each);
+        vms.start(each);
+    }
+    vms.run_for(20s);
+    BOOST_TEST(vms.primaries() == 64U);
+    BOOST_TEST(vms.ask(1, old_key).text() == "records_lost unknown");
+    BOOST_TEST(vms.ask(1, "caller-1").text() == "records_lost unknown");
+    vms.complete(1, vms.nodes[1].once->issue_key(vms.wall(1)).value());
+    vms.run_for(125s);
+    BOOST_TEST(vms.ask(1, "caller-2").text() == "execute");
+}
+
+// Guards against a cut-off pair that refuses issued keys, and against keys that run both
+// there and at the successors on the other side.
+BOOST_AUTO_TEST_CASE(a_cut_off_pair_goes_on_with_issued_keys)
+{
+    request_fleet vms(settings(4, 4, {.unconfirmed_limit = 30s}));
+    for (const std::size_t inside : {0U, 1U})
+    {
+        vms.cut_from_store[inside] = true;
+        for (const std::size_t outside : {2U, 3U})
+            vms.separate(inside, outside, true);
+    }
+    vms.run_for(60s);
+    std::string inside_key;
+    answer permitted;
+    for (int tries = 0; tries < 100 && permitted.text() != "execute"; ++tries)
+    {
+        inside_key = vms.nodes[0].once->issue_key(vms.wall(0)).value();
+        permitted = vms.ask(0, inside_key);
+    }
+    BOOST_TEST(permitted.text() == "execute");
+    BOOST_TEST(vms.ask(2, inside_key).text() != "execute");
+    const std::string outside_key = vms.nodes[2].once->issue_key(vms.wall(2)).value();
+    BOOST_TEST(vms.ask(2, outside_key).text() == "execute");
+    BOOST_TEST(vms.ask(0, outside_key).text() != "execute");
+}
+
+// Guards against a planned stop that loses records or interrupts requests.
+BOOST_AUTO_TEST_CASE(a_leaving_vm_hands_over_before_it_exits)
+{
+    request_fleet vms(settings(4, 2));
+    for (int number = 0; number < 40; ++number)
+        vms.complete(0, "order-" + std::to_string(number));
+    const answer running = vms.ask(2, vms.key_at(2, "slow-"));
+    vms.nodes[2].leaving = true;
+    vms.nodes[2].once->leave(vms.local(2));
+    duration passed{0};
+    for (; !vms.nodes[2].once->left() && passed < 30s; passed += 100ms)
+        vms.run_for(100ms);
+    BOOST_TEST_MESSAGE("handed over in " << passed.count() / 1000 << " ms");
+    BOOST_TEST(vms.nodes[2].once->left());
+    vms.finish(running, {.status = 200, .body = "slow"});
+    vms.run_for(1s);
+    vms.kill(2);
+    for (int number = 0; number < 40; ++number)
+    {
+        const std::string key = "order-" + std::to_string(number);
+        BOOST_TEST(vms.ask(1, key).text() == "replay done " + key);
+    }
+}
+
+// Guards against messages over the bound of the wire, and against a view that names a
+// backup before it has all records.
+BOOST_AUTO_TEST_CASE(a_new_backup_receives_large_state_in_parts)
+{
+    request_fleet vms(settings(3, 1, {.retention = 3h, .max_kept_bytes = 64U << 20U}));
+    std::vector<std::string> keys;
+    const outcome large{.status = 200, .body = std::string(16'000, 'b')};
+    for (int number = 0; number < 600; ++number)
+    {
+        keys.push_back("order-" + std::to_string(number));
+        vms.finish(vms.ask(0, keys.back()), large);
+    }
+    vms.largest = 0;
+    vms.count_bytes = true;
+    for (const std::size_t victim : {0U, 1U})
+    {
+        vms.kill(victim);
+        vms.start(victim);
+        vms.run_for(30s);
+    }
+    BOOST_TEST(vms.largest > max_part_size / 2);
+    BOOST_TEST(vms.largest < max_part_size + 4096);
+    for (const std::string& key : keys)
+        BOOST_TEST(vms.ask(2, key).text() == "replay " + large.body);
+}
+
+// Guards against many writes when the membership flaps.
+BOOST_AUTO_TEST_CASE(a_flapping_peer_costs_few_writes)
+{
+    request_fleet vms(settings(4, 2));
+    const std::uint64_t before = vms.rows.writes;
+    for (int flap = 0; flap < 60; ++flap)
+    {
+        vms.separate(0, 1, true);
+        vms.run_for(5s);
+        vms.separate(0, 1, false);
+        vms.run_for(5s);
+    }
+    BOOST_TEST_MESSAGE("writes in 10 min of flapping: " << vms.rows.writes - before);
+    BOOST_TEST(vms.rows.writes - before < 200U);
+    BOOST_TEST(vms.primaries() == 64U);
+}
+
+// Guards against a crash or a change of state by malformed messages.
+BOOST_AUTO_TEST_CASE(malformed_messages_are_counted_and_change_nothing)
+{
+    request_fleet vms(settings(3, 3));
+    vms.complete(0, "order-1");
+    executor& target = *vms.nodes[1].once;
+    const std::size_t records = target.record_count();
+    const wire::body samples[] = {
+        nullptr,
+        5,
+        "text",
+        wire::body::array(),
+        wire::body::object(),
+        wire::body::array({64, 1, 1, 1, 0, 0, 0, wire::body::array()}),
+        wire::body::array({1, 1, 1, 1, 0, 0, 0, {{1, 2, 3}}}),
+        wire::body::array({1, 1, 1, 0, 0, 9, wire::body::array()}),
+        {{"shard", 70}, {"row", 5}}};
+    for (const char* type : {"intent", "intent_ack", "outcome", "shard_state", "other"})
+    {
+        for (const wire::body& each : samples)
+            target.receive(vms.local(1), {"vm-0"}, type, each);
+    }
+    BOOST_TEST(target.totals().malformed == 5U * std::size(samples));
+    BOOST_TEST(target.record_count() == records);
+    BOOST_TEST(vms.ask(1, "order-1").text() == "replay done order-1");
+}
--- a/pistachiospan/once/internal/engine.hpp
+++ b/pistachiospan/once/internal/engine.hpp
@@ -50,6 +50,16 @@
         std::vector<waiter> waiters; // until permitted, the first one is to execute
     };
 
+    // A refusal that waits for a promise of the backup, to say "ran: no".
+    struct unproven_refusal
+    {
+        std::size_t shard = 0;
+        internal::record_id id;
+        time_point started;
+        refusal reason;
+        decision_handler done;
+    };
+
     // Outcome of an attempt that is owed to the primary of a later view.
     struct owed_resolution
     {
@@ -86,6 +96,9 @@
     void record_outcome(time_point now, const attempt& ended, const outcome& result);
     void limit_size(outcome& result) const;
     void expire_waiters(time_point now);
+    void prove(time_point now, std::size_t index, const internal::record_id& id,
+               refusal reason, decision_handler done);
+    void answer_unproven(time_point now);
     void sweep(time_point now, internal::shard& owner);
     bool serving(const internal::shard& owner, time_point now) const;
     bool exclusive(const internal::shard& owner, time_point now) const;
@@ -185,6 +198,7 @@
     attempt_map attempts;
     attempt_id next_attempt = 1;
     std::map<std::uint64_t, owed_resolution> resolutions;
+    std::vector<unproven_refusal> unproven;
     std::uint64_t next_serial = 1;
     std::uint64_t next_key = 1;
     std::size_t kept_bytes = 0;
@@ -197,6 +211,8 @@
     std::optional<time_point> scanned_at; // the newest answered scan was sent then
     std::uint64_t next_call = 1;
     time_point next_move;
+    time_point last_balance;
+    bool balance_due = false; // whether moves are considered in this tick
 
     std::deque<std::pair<decision_handler, decision>> answers;
     std::vector<std::function<void(time_point)>> store_answers;
--- a/pistachiospan/once/internal/protocol.cpp
+++ b/pistachiospan/once/internal/protocol.cpp
@@ -12,6 +12,7 @@
 namespace
 {
 
+constexpr std::string_view row_prefix = "shard/";
 constexpr std::size_t signature_size = 32; // hexadecimal digits: 128 bits
 
 nlohmann::json encode_member(const member& who)
@@ -73,7 +74,17 @@
 
 std::string row_key(std::size_t shard)
 {
-    return "shard/" + std::to_string(shard);
+    return std::string(row_prefix) + std::to_string(shard);
+}
+
+std::size_t shard_of_row(std::string_view key)
+{
+    std::size_t shard = shard_count;
+    const bool prefixed = key.starts_with(row_prefix);
+    const char* first = key.data() + (prefixed ? row_prefix.size() : 0);
+    const auto read = std::from_chars(first, key.data() + key.size(), shard);
+    const bool whole = read.ec == std::errc() && read.ptr == key.data() + key.size();
+    return prefixed && whole ? shard : shard_count;
 }
 
 void to_json(nlohmann::json& out, const view& value)
--- a/pistachiospan/once/internal/protocol.hpp
+++ b/pistachiospan/once/internal/protocol.hpp
@@ -57,6 +57,8 @@
 };
 
 std::string row_key(std::size_t shard);
+// shard_count or more: not the key of a shard's row.
+std::size_t shard_of_row(std::string_view key);
 std::string encode_row(const view& value);
 result<view> decode_row(const store::row& row);
 
--- a/pistachiospan/once/internal/replication.cpp
+++ b/pistachiospan/once/internal/replication.cpp
@@ -337,6 +337,8 @@
         (joining ? found->second.needs_joiner : found->second.needs_backup) = false;
         this->permit_if_acknowledged(now, found);
     }
+    if (!this->unproven.empty())
+        this->answer_unproven(now);
     const bool part_held = target.unacknowledged.empty() ||
                            target.unacknowledged.begin()->first > target.part_end;
     if (target.part_end == 0 || !part_held)
--- a/pistachiospan/once/internal/requests.cpp
+++ b/pistachiospan/once/internal/requests.cpp
@@ -102,7 +102,7 @@
     if (found != owner.records.end() && found->second.state != record_state::free)
         return this->decide_recorded(now, asked, found->second, std::move(done));
     if (auto refused = this->check_new(now, asked, owner, issued ? &*issued : nullptr))
-        return this->refuse(done, std::move(*refused));
+        return this->prove(now, index, id, std::move(*refused), std::move(done));
     this->start(now, asked, index, id, std::move(done));
 }
 
@@ -216,6 +216,46 @@
     return std::nullopt;
 }
 
+// Refuses; when only a promise of the backup is missing, asks for it first.
+void executor::engine::prove(time_point now, std::size_t index, const record_id& id,
+                             refusal reason, decision_handler done)
+{
+    replica* backup = this->shards[index].backup.get();
+    const bool provable = reason.code == "records_full" && reason.run == ran::unknown &&
+                          backup != nullptr && !backup->silent && !backup->refused;
+    if (!provable)
+        return this->refuse(done, std::move(reason));
+    this->unproven.push_back({.shard = index,
+                              .id = id,
+                              .started = now,
+                              .reason = std::move(reason),
+                              .done = std::move(done)});
+    if (now - backup->last_sent >= this->opts.resend_after / 2)
+        this->send_part(now, this->shards[index], *backup);
+}
+
+void executor::engine::answer_unproven(time_point now)
+{
+    const auto rest =
+        std::stable_partition(this->unproven.begin(), this->unproven.end(),
+                              [&](const unproven_refusal& each)
+                              {
+                                  return now - each.started < this->opts.ack_timeout &&
+                                         !this->exclusive(this->shards[each.shard], now);
+                              });
+    for (auto at = rest; at != this->unproven.end(); ++at)
+    {
+        const shard& owner = this->shards[at->shard];
+        const auto found = owner.records.find(at->id);
+        const bool free =
+            found == owner.records.end() || found->second.state == record_state::free;
+        if (free)
+            at->reason.run = this->claim(owner, now);
+        this->refuse(at->done, std::move(at->reason));
+    }
+    this->unproven.erase(rest, this->unproven.end());
+}
+
 void executor::engine::start(time_point now, const request& asked, std::size_t index,
                              const record_id& id, decision_handler done)
 {
@@ -441,11 +481,16 @@
             each.down_since = now;
     }
     this->last_tick = now;
+    constexpr duration balance_period = 1s;
+    this->balance_due = now - this->last_balance >= balance_period;
+    if (this->balance_due)
+        this->last_balance = now;
     if (now >= this->next_scan)
         this->scan(now);
     for (std::size_t index = 0; index < shard_count; ++index)
         this->maintain(now, index);
     this->expire_waiters(now);
+    this->answer_unproven(now);
     this->resend_resolutions(now);
     this->sweep(now, this->shards[this->sweep_at]);
     this->sweep_at = (this->sweep_at + 1) % shard_count;
--- a/pistachiospan/once/internal/test_support.hpp
+++ b/pistachiospan/once/internal/test_support.hpp
@@ -185,6 +185,7 @@
     std::vector<std::vector<bool>> blocked; // [from][to]
     std::vector<bool> cut_from_store;
     std::uint64_t bytes = 0;
+    std::size_t largest = 0; // message body
     bool count_bytes = false;
 
     explicit fleet(fleet_options given) : opts(std::move(given)), random(opts.seed)
@@ -294,7 +295,11 @@
     {
         const auto target = static_cast<std::size_t>(std::stoul(to.value.substr(3)));
         if (this->count_bytes)
-            this->bytes += wire::body::to_msgpack(body).size();
+        {
+            const std::size_t size = wire::body::to_msgpack(body).size();
+            this->bytes += size;
+            this->largest = std::max(this->largest, size);
+        }
         if (this->blocked[from][target] || this->rows.chance(this->fault.message_loss))
             return;
         const int copies = this->rows.chance(this->fault.message_copy) ? 2 : 1;
@@ -351,7 +356,8 @@
                               node& each = this->nodes[index];
                               if (!each.alive || each.paused_until > this->clock.now)
                                   return;
-                              this->update_peers(index);
+                              if (this->below(4) == 0)
+                                  this->update_peers(index);
                               each.once->tick(this->local(index));
                           });
     }
--- a/pistachiospan/once/internal/views.cpp
+++ b/pistachiospan/once/internal/views.cpp
@@ -187,7 +187,7 @@
 // that data centre has too few to issue keys for.
 bool executor::engine::wants_move(time_point now, std::size_t index) const
 {
-    if (now < this->next_move || this->leaving)
+    if (!this->balance_due || now < this->next_move || this->leaving)
         return false;
     const vm_id* preferred = this->preferred_primary(index);
     if (preferred == nullptr || *preferred == this->me.id)
@@ -417,14 +417,16 @@
         return next;
     if (joiner != nullptr)
         return std::nullopt;
-    const bool alone = !this->choose_backup(now, index, false);
-    if (this->leaving && backup_stays && alone)
+    const bool replacing = this->leaving || (owner.backup && !backup_stays);
+    if (replacing && this->choose_backup(now, index, false))
+        return std::nullopt; // a state transfer begins soon
+    if (this->leaving && backup_stays)
     {
         next.primary = owner.current.backup;
         next.backup = {};
         return next;
     }
-    if (owner.backup && !backup_stays && alone && !this->leaving)
+    if (owner.backup && !backup_stays && !this->leaving)
     {
         next.backup = {};
         return next;
@@ -543,14 +545,17 @@
 
 void executor::engine::on_row(time_point now, const store::row& row, time_point sent)
 {
-    const result<view> read = decode_row(row);
-    std::size_t index = shard_count;
-    for (std::size_t each = 0; each < shard_count && read; ++each)
+    const std::size_t index = shard_of_row(row.key);
+    if (index >= shard_count)
+        return;
+    shard& held = this->shards[index];
+    if (row.rev == held.current.rev && row.rev != 0)
     {
-        if (row.key == row_key(each))
-            index = each;
+        held.confirmed_at = std::max(held.confirmed_at.value_or(sent), sent);
+        return;
     }
-    if (index == shard_count)
+    const result<view> read = decode_row(row);
+    if (!read)
         return;
     shard& owner = this->shards[index];
     this->adopt(now, index, read.value());
