Add the commands of the operator command

check, diff, apply, show, status, audit, drain and hash-key are a library that is tested against a fake platform; tools/pistachioctl holds the thin main, which is built as soon as the target pistachiospan_store_http exists. show prints the text in force with the version it has, so that apply can refuse a file made from an older version.

--- /dev/null
+++ b/tools/pistachioctl/pistachioctl.cpp
@@ -0,0 +1,367 @@
+// The operator command. docs/settings.md describes its commands and exit codes.
+
+#include "pistachiospan/ctl/ctl.hpp"
+#include "pistachiospan/ini/ini.hpp"
+#include "pistachiospan/store_http/store_http.hpp"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <popt.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+
+using namespace pistachiospan;
+using ctl::exit_code;
+
+namespace
+{
+
+constexpr std::size_t max_status_size = std::size_t{64} * 1024;
+
+struct command_line
+{
+    std::string platform;
+    duration timeout = std::chrono::seconds(2);
+    bool json = false;
+    std::vector<std::string> vm_addresses;
+    std::string who;
+    std::string edit_id;
+    std::optional<catalogue_version> base;
+    bool wait = false;
+    bool undo = false;
+    std::string salt;
+    std::string time_prefix;
+    std::size_t limit = 50;
+    std::vector<std::string> words; // command and its arguments
+};
+
+struct base_deleter
+{
+    void operator()(event_base* base) const
+    {
+        event_base_free(base);
+    }
+};
+
+using loop = std::unique_ptr<event_base, base_deleter>;
+
+timeval to_timeval(duration span)
+{
+    const auto micros = span.count();
+    return {.tv_sec = micros / 1'000'000, .tv_usec = micros % 1'000'000};
+}
+
+void call_after(event_base* base, duration delay, std::function<void()> call)
+{
+    const timeval wait = to_timeval(delay);
+    auto* kept = new std::function<void()>(std::move(call));
+    event_base_once(
+        base, -1, EV_TIMEOUT,
+        [](evutil_socket_t, short, void* argument)
+        {
+            const std::unique_ptr<std::function<void()>> call(
+                static_cast<std::function<void()>*>(argument));
+            (*call)();
+        },
+        kept, &wait);
+}
+
+// One GET; deletes itself after calling its handler.
+struct http_call
+{
+    evhttp_connection* connection = nullptr;
+    std::string address;
+    store::handler<std::string> done;
+};
+
+void finish_call(evhttp_request* request, void* argument)
+{
+    const std::unique_ptr<http_call> call(static_cast<http_call*>(argument));
+    const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
+    if (status != HTTP_OK)
+        return call->done(
+            failure(errc::unavailable, call->address + " does not answer (status " +
+                                           std::to_string(status) +
+                                           "); check that the entry daemon runs there"));
+    evbuffer* body = evhttp_request_get_input_buffer(request);
+    const std::size_t size = evbuffer_get_length(body);
+    const auto* bytes = reinterpret_cast<const char*>(
+        evbuffer_pullup(body, static_cast<ev_ssize_t>(size)));
+    call->done(size == 0 ? std::string() : std::string(bytes, size));
+}
+
+void http_get(event_base* base, duration timeout, const std::string& address,
+              const std::string& path, store::handler<std::string> done)
+{
+    if (!ini::parse_endpoint(address))
+        return done(failure(errc::invalid_argument,
+                            "'" + address + "' is not ip:port; correct the VM list"));
+    const std::size_t colon = address.rfind(':');
+    std::string host = address.substr(0, colon);
+    if (host.starts_with('['))
+        host = host.substr(1, host.size() - 2);
+    const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)));
+    evhttp_connection* connection =
+        evhttp_connection_base_new(base, nullptr, host.c_str(), port);
+    const timeval limit = to_timeval(timeout);
+    evhttp_connection_set_timeout_tv(connection, &limit);
+    evhttp_connection_set_max_body_size(connection, max_status_size);
+    evhttp_connection_free_on_completion(connection);
+    auto* call = new http_call{
+        .connection = connection, .address = address, .done = std::move(done)};
+    evhttp_request* request = evhttp_request_new(finish_call, call);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
+                      address.c_str());
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+    evhttp_make_request(connection, request, EVHTTP_REQ_GET, path.c_str());
+}
+
+exit_code complain(const std::string& message)
+{
+    std::cerr << "pistachioctl: " << message << "\n";
+    return exit_code::usage;
+}
+
+// Takes the value of one option. The error says what is wrong.
+result<bool> take_option(int option, const std::string& value, command_line& line)
+{
+    const auto take = [](auto& target, const auto& parsed) -> result<bool>
+    {
+        if (!parsed)
+            return parsed.error();
+        target = parsed.value();
+        return true;
+    };
+    switch (option)
+    {
+    case 'p':
+        return take(line.platform, ini::parse_endpoint(value));
+    case 't':
+        return take(line.timeout, ini::parse_duration(value));
+    case 'v':
+        line.vm_addresses.emplace_back();
+        return take(line.vm_addresses.back(), ini::parse_endpoint(value));
+    case 'w':
+        return take(line.who, ini::parse_text(value));
+    case 'e':
+        return take(line.edit_id, ini::parse_text(value));
+    case 'b':
+        return take(line.base, ini::parse_count(value));
+    case 's':
+        return take(line.salt, ini::parse_text(value));
+    case 'm':
+        return take(line.time_prefix, ini::parse_text(value));
+    case 'l':
+        return take(line.limit, ini::parse_count(value));
+    default:
+        return failure(errc::invalid_argument, "unknown option; see --help");
+    }
+}
+
+struct context_deleter
+{
+    void operator()(poptContext context) const
+    {
+        poptFreeContext(context);
+    }
+};
+
+result<command_line> read_command_line(int argc, const char** argv)
+{
+    int json = 0;
+    int wait = 0;
+    int undo = 0;
+    const poptOption options[] = {
+        {"platform", 'p', POPT_ARG_STRING, nullptr, 'p', "platform's service", "ip:port"},
+        {"timeout", 't', POPT_ARG_STRING, nullptr, 't', "of one call, default 2 s",
+         "'2 s'"},
+        {"json", 'j', POPT_ARG_NONE, &json, 0, "print JSON", nullptr},
+        {"vm", 'v', POPT_ARG_STRING, nullptr, 'v',
+         "entry VM to ask if the VM list can't be read; may be repeated", "ip:port"},
+        {"who", 'w', POPT_ARG_STRING, nullptr, 'w',
+         "who makes the edit (drain: default is $USER)", "NAME"},
+        {"edit-id", 'e', POPT_ARG_STRING, nullptr, 'e',
+         "id of the edit, the same when it is repeated (drain: default is random)", "ID"},
+        {"base", 'b', POPT_ARG_STRING, nullptr, 'b',
+         "apply: version from which the file was made", "VERSION"},
+        {"wait", 0, POPT_ARG_NONE, &wait, 0, "apply: until in force everywhere", nullptr},
+        {"undo", 0, POPT_ARG_NONE, &undo, 0, "drain: remove the mark", nullptr},
+        {"salt", 's', POPT_ARG_STRING, nullptr, 's', "hash-key: key_salt", "SALT"},
+        {"since", 0, POPT_ARG_STRING, nullptr, 'm',
+         "audit: rows whose time begins so, such as 2026-12-04", "TIME"},
+        {"limit", 'l', POPT_ARG_STRING, nullptr, 'l', "audit: newest rows, default 50",
+         "N"},
+        POPT_AUTOHELP POPT_TABLEEND};
+    const std::unique_ptr<poptContext_s, context_deleter> context(
+        poptGetContext("pistachioctl", argc, argv, options, 0));
+    poptSetOtherOptionHelp(context.get(),
+                           "[OPTION...] check FILE | diff FILE | apply FILE | show | "
+                           "status | audit | drain ADDRESS | hash-key --salt S");
+    command_line line;
+    int option = 0;
+    while ((option = poptGetNextOpt(context.get())) > 0)
+    {
+        const std::unique_ptr<char, decltype(&std::free)> value(
+            poptGetOptArg(context.get()), &std::free);
+        const std::string text = value ? value.get() : "";
+        if (const auto taken = take_option(option, text, line); !taken)
+            return failure(errc::invalid_argument,
+                           "option value '" + text + "': " + taken.error().message);
+    }
+    if (option < -1)
+        return failure(errc::invalid_argument,
+                       std::string(poptBadOption(context.get(), 0)) + ": " +
+                           poptStrerror(option) + "; see --help");
+    while (const char* word = poptGetArg(context.get()))
+        line.words.emplace_back(word);
+    line.json = json != 0;
+    line.wait = wait != 0;
+    line.undo = undo != 0;
+    return line;
+}
+
+wall_time wall_now()
+{
+    return std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
+}
+
+struct command
+{
+    std::string_view name;
+    std::size_t arguments;
+    bool needs_platform;
+};
+
+constexpr command known_commands[] = {
+    {"check", 1, false}, {"diff", 1, true},  {"apply", 1, true}, {"show", 0, true},
+    {"status", 0, true}, {"audit", 0, true}, {"drain", 1, true}, {"hash-key", 0, false}};
+
+result<bool> check_usage(const command_line& line)
+{
+    const std::string name = line.words.empty() ? "" : line.words.front();
+    for (const command& known : known_commands)
+    {
+        if (known.name != name)
+            continue;
+        if (line.words.size() != known.arguments + 1)
+            return failure(errc::invalid_argument, name + " takes " +
+                                                       std::to_string(known.arguments) +
+                                                       " argument(s); see --help");
+        if (known.needs_platform && line.platform.empty())
+            return failure(errc::invalid_argument,
+                           name + " needs the platform; give --platform ip:port");
+        if (name == "apply" && (line.who.empty() || line.edit_id.empty()))
+            return failure(
+                errc::invalid_argument,
+                "apply needs --who NAME and --edit-id ID; the same id when the "
+                "command is repeated");
+        if (name == "hash-key" && line.salt.empty())
+            return failure(errc::invalid_argument,
+                           "hash-key needs --salt; give key_salt of the catalogue");
+        return true;
+    }
+    return failure(errc::invalid_argument,
+                   "no command or unknown command '" + name + "'; see --help");
+}
+
+edit::drain_request drain_of(const command_line& line)
+{
+    edit::drain_request request{.edit_id = line.edit_id,
+                                .who = line.who,
+                                .address = line.words[1],
+                                .drain = !line.undo};
+    const char* user = std::getenv("USER");
+    if (request.who.empty())
+        request.who = user == nullptr ? "operator" : user;
+    if (request.edit_id.empty())
+        request.edit_id = "drain-" + random_hex(8);
+    std::cerr << "edit id " << request.edit_id << "\n";
+    return request;
+}
+
+void start(ctl::commands& operate, const command_line& line,
+           const ctl::catalogue_file& file, const ctl::finish& done)
+{
+    const std::string& name = line.words.front();
+    if (name == "check")
+        return done(operate.check(file));
+    if (name == "diff")
+        return operate.diff(file, done);
+    if (name == "apply")
+        return operate.apply(wall_now(),
+                             {.file = file,
+                              .who = line.who,
+                              .edit_id = line.edit_id,
+                              .base = line.base,
+                              .wait = line.wait},
+                             done);
+    if (name == "show")
+        return operate.show(done);
+    if (name == "status")
+        return operate.status(done);
+    if (name == "audit")
+        return operate.audit({.time_prefix = line.time_prefix, .limit = line.limit},
+                             done);
+    if (name == "drain")
+        return operate.drain(wall_now(), drain_of(line), done);
+    std::string key;
+    std::getline(std::cin, key);
+    done(operate.hash_key(line.salt, key));
+}
+
+exit_code run(const command_line& line)
+{
+    ctl::catalogue_file file;
+    const std::string& name = line.words.front();
+    if (name == "check" || name == "diff" || name == "apply")
+    {
+        auto text = ini::read_file(line.words[1]);
+        if (!text)
+            return complain(text.error().message);
+        file = {.name = line.words[1], .text = std::move(text).value()};
+    }
+    const loop base(event_base_new());
+    // Commands without the platform never call it, so any address will do.
+    store::http_platform platform(
+        base.get(), {.address = line.platform.empty() ? "127.0.0.1:1" : line.platform,
+                     .timeout = line.timeout});
+    ctl::commands operate(
+        {.rows = platform,
+         .objects = platform,
+         .vms = platform,
+         .http_get = [&](const std::string& address, const std::string& path,
+                         store::handler<std::string> done)
+         { http_get(base.get(), line.timeout, address, path, std::move(done)); },
+         .after = [&](duration delay, std::function<void()> call)
+         { call_after(base.get(), delay, std::move(call)); },
+         .print = [](std::string_view text) { std::cout << text << std::flush; },
+         .complain = [](std::string_view text) { std::cerr << text; },
+         .json = line.json,
+         .vm_addresses = line.vm_addresses});
+    std::optional<exit_code> ended;
+    start(operate, line, file,
+          [&](exit_code code)
+          {
+              ended = code;
+              event_base_loopbreak(base.get());
+          });
+    if (!ended)
+        event_base_dispatch(base.get());
+    return ended.value_or(exit_code::unavailable);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto line = read_command_line(argc, const_cast<const char**>(argv));
+    if (!line)
+        return static_cast<int>(complain(line.error().message));
+    if (const auto good = check_usage(line.value()); !good)
+        return static_cast<int>(complain(good.error().message));
+    return static_cast<int>(run(line.value()));
+}
