--- a/pistachiospan/catalogue/compare.cpp
+++ b/pistachiospan/catalogue/compare.cpp
@@ -40,7 +40,10 @@
 // The shortest text that reads back as the same number.
 std::string to_text(double number)
 {
-    return nlohmann::json(number).dump();
+    std::string text = nlohmann::json(number).dump();
+    if (text.ends_with(".0"))
+        text.resize(text.size() - 2);
+    return text;
 }
 
 std::string cap_to_text(std::uint32_t cap)
@@ -184,11 +187,17 @@
     return sorted;
 }
 
+// Tells two salts apart without showing a part of them.
+std::string describe_salt(const std::string& salt)
+{
+    return salt.empty() ? "" : "hash " + digest(salt).substr(0, shown_hash_digits);
+}
+
 description describe_head(const catalogue& whole)
 {
     return {{"name", whole.name},
             {"owner", whole.owner},
-            {"key_salt", whole.key_salt.substr(0, shown_hash_digits)},
+            {"key_salt", describe_salt(whole.key_salt)},
             {"rate_shares", std::to_string(whole.rate_shares)},
             {"confirm_within", to_text(whole.confirm_within)}};
 }
--- a/pistachiospan/ctl/ctl.cpp
+++ b/pistachiospan/ctl/ctl.cpp
@@ -302,6 +302,27 @@
     return "accepted as version " + version + "\n" + to_text(outcome.changes);
 }
 
+// Rows of entry daemons may have other fields; they are shown as they are.
+std::string audit_line(const store::row& row, const json& value)
+{
+    std::string line;
+    try
+    {
+        line = value.at("when").get<std::string>() + "  ";
+        line += value.at("who").get<std::string>() + "  ";
+        line += value.at("what").get<std::string>() + "  version ";
+        line += std::to_string(value.at("from").get<catalogue_version>()) + " -> ";
+        line += std::to_string(value.at("to").get<catalogue_version>()) + "  edit ";
+        line += value.at("edit").get<std::string>() + "  ";
+        line += std::to_string(value.at("changes").size()) + " changes\n";
+    }
+    catch (const json::exception&)
+    {
+        line = row.key.substr(row.key.find('/') + 1) + "  " + row.value + "\n";
+    }
+    return line;
+}
+
 } // namespace
 
 void to_json(json& out, const vm_status& value)
@@ -521,7 +542,7 @@
                 list.push_back(
                     {{"key", row.key},
                      {"entry", value.is_discarded() ? json(row.value) : value}});
-                text += row.key.substr(row.key.find('/') + 1) + "  " + row.value + "\n";
+                text += audit_line(row, value);
             }
             if (this->env.json)
                 this->env.print(
--- a/pistachiospan/ctl/ctl_test.cpp
+++ b/pistachiospan/ctl/ctl_test.cpp
@@ -212,6 +212,10 @@
     const auto audit = nlohmann::json::parse(printed);
     BOOST_TEST(audit["omitted"] == 1U);
     BOOST_TEST(audit["rows"][0]["entry"]["edit"] == "e-2");
+    platform.rows["audit/2026-z"] = {"audit/2026-z", "{\"what\":\"share repair\"}", 1};
+    finish_of([](commands& operate, const finish& done) { operate.audit({}, done); });
+    BOOST_TEST(shows("  anna  apply  version 1 -> 2  edit e-2  1 changes\n"));
+    BOOST_TEST(shows("2026-z  {\"what\":\"share repair\"}\n"));
 }
 
 // Guards against a drain that is reported as done while a VM still sends work.
