Add the request path, the entry daemon and the demo

Cause: the decision libraries had no process around them. Change: entry::pipeline (one request from key check to answer), entry::node (all decisions of one VM as one plain object), the daemon on evhttp, nghttp2 and the platform client, pistachiospand, run-demo. Seeds in the settings now name VM, data centre and region, because peer messages are addressed to a VM id. Issued idempotency keys take a caller's suffix after '~', since callers cache the look-up that carries the key.

--- a/pistachiospan/config/config.hpp
+++ b/pistachiospan/config/config.hpp
@@ -192,6 +192,14 @@
     // Whether a request on a keyed route may run. Open routes do not ask.
     admission may_serve(time_point now, catalogue::unconfirmed_policy policy) const;
 
+    // Age of the newest store confirmation; nothing if there is none.
+    std::optional<duration> confirmation_age(time_point now) const
+    {
+        if (this->confirmed == 0)
+            return std::nullopt;
+        return now - this->confirmed_at;
+    }
+
     catalogue_version held_version() const
     {
         return this->held.version;
--- /dev/null
+++ b/pistachiospan/daemon/internal/caller_listener.cpp
@@ -0,0 +1,335 @@
+#include "pistachiospan/daemon/internal/caller_listener.hpp"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <system_error>
+
+namespace pistachiospan::daemon::internal
+{
+
+namespace
+{
+
+constexpr duration sweep_interval = std::chrono::seconds(5);
+
+constexpr std::string_view reserved_prefix = "/.well-known/pistachiospan/";
+
+// Headers of a caller that are never forwarded: those of one connection only, and those
+// that this daemon sets or reads itself.
+constexpr std::array<std::string_view, 19> not_forwarded{"connection",
+                                                         "keep-alive",
+                                                         "transfer-encoding",
+                                                         "te",
+                                                         "trailer",
+                                                         "upgrade",
+                                                         "proxy-connection",
+                                                         "proxy-authorization",
+                                                         "content-length",
+                                                         "expect",
+                                                         "x-client-key",
+                                                         "x-client-account",
+                                                         "x-deadline-ms",
+                                                         "idempotency-key",
+                                                         "x-request-id",
+                                                         "x-not-run",
+                                                         "drain",
+                                                         "proxy-authenticate",
+                                                         "host"};
+
+// Headers of an answer that evhttp sets itself.
+constexpr std::array<std::string_view, 8> not_returned{
+    "connection",   "keep-alive", "transfer-encoding", "content-length", "date",
+    "x-request-id", "drain",      "x-not-run"};
+
+std::string lower(std::string_view text)
+{
+    std::string copy(text);
+    std::transform(copy.begin(), copy.end(), copy.begin(),
+                   [](unsigned char letter)
+                   { return static_cast<char>(std::tolower(letter)); });
+    return copy;
+}
+
+template <class List>
+bool contains(const List& names, std::string_view name)
+{
+    return std::find(names.begin(), names.end(), lower(name)) != names.end();
+}
+
+std::string_view method_name(evhttp_cmd_type method)
+{
+    switch (method)
+    {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_HEAD:
+        return "HEAD";
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    case EVHTTP_REQ_PATCH:
+        return "PATCH";
+    default:
+        return "OPTIONS";
+    }
+}
+
+std::string take_body(evhttp_request* call)
+{
+    evbuffer* input = evhttp_request_get_input_buffer(call);
+    std::string body(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, body.data(), body.size());
+    return body;
+}
+
+std::string header_or_empty(const evkeyvalq* headers, const char* name)
+{
+    const char* value = evhttp_find_header(headers, name);
+    return value == nullptr ? std::string() : std::string(value);
+}
+
+std::optional<duration> parse_milliseconds(std::string_view text)
+{
+    std::int64_t count = 0;
+    const auto [end, problem] =
+        std::from_chars(text.data(), text.data() + text.size(), count);
+    constexpr std::int64_t one_day = 86'400'000;
+    if (text.empty() || problem != std::errc() || end != text.data() + text.size() ||
+        count <= 0 || count > one_day)
+        return std::nullopt;
+    return std::chrono::milliseconds(count);
+}
+
+entry::caller_request copy_request(evhttp_request* call)
+{
+    const evkeyvalq* headers = evhttp_request_get_input_headers(call);
+    entry::caller_request copy{
+        .method = std::string(method_name(evhttp_request_get_command(call))),
+        .target = evhttp_request_get_uri(call),
+        .key = header_or_empty(headers, "X-Client-Key"),
+        .idempotency_key = header_or_empty(headers, "Idempotency-Key"),
+        .request_id = header_or_empty(headers, "X-Request-Id"),
+        .deadline = parse_milliseconds(header_or_empty(headers, "X-Deadline-Ms"))};
+    for (const evkeyval* field = headers->tqh_first; field != nullptr;
+         field = field->next.tqe_next)
+        if (!contains(not_forwarded, field->key))
+            copy.headers.emplace_back(field->key, field->value);
+    copy.body = take_body(call);
+    return copy;
+}
+
+void send(evhttp_request* call, int status, std::string_view body)
+{
+    evbuffer* output = evbuffer_new();
+    evbuffer_add(output, body.data(), body.size());
+    evhttp_send_reply(call, status, nullptr, output);
+    evbuffer_free(output);
+}
+
+} // namespace
+
+caller_listener::caller_listener(event_base* base, caller_listener_options options,
+                                 caller_listener_hooks hooks)
+    : base(base), options(std::move(options)), hooks(std::move(hooks))
+{
+    sockaddr_storage address{};
+    int size = sizeof(address);
+    if (evutil_parse_sockaddr_port(this->options.address.c_str(),
+                                   reinterpret_cast<sockaddr*>(&address), &size) != 0)
+        throw std::system_error(make_error_code(errc::invalid_argument),
+                                "caller address " + this->options.address +
+                                    " is not ip:port; correct the settings");
+    this->listener = evconnlistener_new_bind(
+        base, nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 1024,
+        reinterpret_cast<sockaddr*>(&address), size);
+    if (this->listener == nullptr)
+        throw std::system_error(errno, std::generic_category(),
+                                "cannot listen on " + this->options.address +
+                                    "; check that no other process uses it");
+    this->server = evhttp_new(base);
+    evhttp_bind_listener(this->server, this->listener);
+    evhttp_set_max_headers_size(this->server,
+                                static_cast<ev_ssize_t>(this->options.max_header));
+    evhttp_set_max_body_size(this->server,
+                             static_cast<ev_ssize_t>(this->options.max_body));
+    const timeval idle = to_timeval(this->options.idle_timeout);
+    evhttp_set_timeout_tv(this->server, &idle);
+    evhttp_set_allowed_methods(this->server, EVHTTP_REQ_GET | EVHTTP_REQ_HEAD |
+                                                 EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                                                 EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH |
+                                                 EVHTTP_REQ_OPTIONS);
+    evhttp_set_bevcb(this->server, &caller_listener::make_transport, this);
+    evhttp_set_gencb(
+        this->server,
+        [](evhttp_request* call, void* user)
+        { static_cast<caller_listener*>(user)->serve(call); },
+        this);
+}
+
+caller_listener::~caller_listener()
+{
+    for (auto& [transport, ended] : this->lines)
+        if (ended->http != nullptr)
+            evhttp_connection_set_closecb(ended->http, nullptr, nullptr);
+    evhttp_free(this->server);
+}
+
+// evhttp calls this for each accepted connection.
+bufferevent* caller_listener::make_transport(event_base* base, void* user)
+{
+    auto* self = static_cast<caller_listener*>(user);
+    bufferevent* transport = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    auto made = std::make_unique<line>();
+    made->owner = self;
+    made->transport = transport;
+    made->last_input = std::chrono::steady_clock::now();
+    evbuffer_add_cb(bufferevent_get_input(transport), &caller_listener::on_input,
+                    made.get());
+    self->lines[transport] = std::move(made);
+    self->limit_accepts();
+    return transport;
+}
+
+// Ends the connection of a sender that delivers a byte now and then, which evhttp's own
+// timeout allows for ever. evhttp closes the connection when it sees the end of input.
+void caller_listener::on_input(evbuffer*, const evbuffer_cb_info* info, void* user)
+{
+    if (info->n_added == 0)
+        return;
+    auto* from = static_cast<line*>(user);
+    const steady_time now = std::chrono::steady_clock::now();
+    from->last_input = now;
+    if (!from->request_began)
+        from->request_began = now;
+    if (now - *from->request_began > from->owner->options.request_timeout)
+        shutdown(bufferevent_getfd(from->transport), SHUT_RDWR);
+}
+
+// Forgets connections that ended before their first request: evhttp does not report
+// these, but it has closed every connection that was silent for the idle timeout.
+void caller_listener::sweep()
+{
+    const steady_time limit =
+        std::chrono::steady_clock::now() - 2 * this->options.idle_timeout;
+    std::erase_if(
+        this->lines, [limit](const auto& entry)
+        { return entry.second->http == nullptr && entry.second->last_input < limit; });
+    this->limit_accepts();
+}
+
+void caller_listener::limit_accepts()
+{
+    if (this->lines.size() >= this->options.max_connections)
+        evconnlistener_disable(this->listener);
+    else
+        evconnlistener_enable(this->listener);
+}
+
+// The line of a request. Asks evhttp to report the end of its connection.
+caller_listener::line& caller_listener::line_of(evhttp_request* call)
+{
+    evhttp_connection* http = evhttp_request_get_connection(call);
+    line& from = *this->lines.at(evhttp_connection_get_bufferevent(http));
+    if (from.http == nullptr)
+        evhttp_connection_set_closecb(
+            http,
+            [](evhttp_connection*, void* ended)
+            {
+                auto* gone = static_cast<line*>(ended);
+                gone->owner->remove(*gone);
+            },
+            &from);
+    from.http = http;
+    return from;
+}
+
+void caller_listener::remove(const line& ended)
+{
+    const entry::exchange_id running = ended.running;
+    bufferevent* transport = ended.transport;
+    evbuffer_remove_cb(bufferevent_get_input(transport), &caller_listener::on_input,
+                       const_cast<line*>(&ended));
+    this->lines.erase(transport);
+    this->limit_accepts();
+    if (running != 0)
+        this->hooks.on_caller_gone(running);
+}
+
+void caller_listener::serve(evhttp_request* call)
+{
+    const evhttp_uri* uri = evhttp_request_get_evhttp_uri(call);
+    const char* path = evhttp_uri_get_path(uri);
+    const char* query = evhttp_uri_get_query(uri);
+    this->line_of(call).request_began.reset();
+    if (path == nullptr)
+        return send(call, HTTP_BADREQUEST, "");
+    const bool takes_body = std::string_view(path).starts_with(reserved_prefix);
+    const std::string body = takes_body ? take_body(call) : std::string();
+    if (const auto own =
+            this->hooks.on_reserved(path, query == nullptr ? "" : query, body))
+    {
+        evhttp_add_header(evhttp_request_get_output_headers(call), "Content-Type",
+                          own->content_type.c_str());
+        return send(call, own->status, own->body);
+    }
+    this->forward(call);
+}
+
+void caller_listener::forward(evhttp_request* call)
+{
+    line& from = this->line_of(call);
+    const std::uint64_t serial = this->next_serial++;
+    from.serial = serial;
+    bufferevent* transport = from.transport;
+    const entry::exchange_id id = this->hooks.on_request(
+        copy_request(call),
+        [this, call, transport, serial](const entry::answer& made)
+        {
+            const auto still = this->lines.find(transport);
+            if (still != this->lines.end() && still->second->serial == serial)
+            {
+                still->second->serial = 0;
+                still->second->running = 0;
+            }
+            this->reply(call, made);
+        });
+    const auto still = this->lines.find(transport);
+    if (still != this->lines.end() && still->second->serial == serial)
+        still->second->running = id;
+}
+
+// evhttp drops the reply itself when the connection has gone.
+void caller_listener::reply(evhttp_request* call, const entry::answer& made)
+{
+    evkeyvalq* headers = evhttp_request_get_output_headers(call);
+    for (const auto& [name, value] : made.headers)
+        if (!contains(not_returned, name))
+            evhttp_add_header(headers, name.c_str(), value.c_str());
+    for (const auto& [name, value] : made.headers)
+        if (name == "X-Request-Id")
+            evhttp_add_header(headers, "X-Request-Id", value.c_str());
+    if (this->closing)
+        evhttp_add_header(headers, "Connection", "close");
+    send(call, made.status == 0 ? HTTP_SERVUNAVAIL : made.status, made.body);
+}
+
+void caller_listener::close_after_answers()
+{
+    this->closing = true;
+}
+
+} // namespace pistachiospan::daemon::internal
--- /dev/null
+++ b/pistachiospan/daemon/internal/caller_listener.hpp
@@ -0,0 +1,111 @@
+// HTTP listener for callers and operators (evhttp).
+
+#ifndef PISTACHIOSPAN_DAEMON_INTERNAL_CALLER_LISTENER_HPP
+#define PISTACHIOSPAN_DAEMON_INTERNAL_CALLER_LISTENER_HPP
+
+#include "pistachiospan/daemon/internal/event_timer.hpp"
+#include "pistachiospan/entry/pipeline.hpp"
+
+#include <chrono>
+#include <optional>
+#include <unordered_map>
+
+struct evhttp;
+struct evhttp_request;
+struct evhttp_connection;
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
+struct evconnlistener;
+
+namespace pistachiospan::daemon::internal
+{
+
+struct caller_listener_options
+{
+    std::string address; // ip:port
+    std::size_t max_header = std::size_t{16} << 10U;
+    std::size_t max_body = std::size_t{8} << 20U;
+    std::size_t max_connections = 10000;
+    duration idle_timeout = std::chrono::seconds(60);    // without a byte
+    duration request_timeout = std::chrono::seconds(60); // first to last byte
+};
+
+struct plain_answer
+{
+    int status = 200;
+    std::string content_type = "application/json";
+    std::string body;
+};
+
+struct caller_listener_hooks
+{
+    // A request on a caller's route. The handler is called exactly once.
+    std::function<entry::exchange_id(entry::caller_request, entry::answer_handler)>
+        on_request;
+    // The caller of this request has closed its connection.
+    std::function<void(entry::exchange_id)> on_caller_gone;
+    // A request under a reserved path. Nothing: the path is not reserved.
+    std::function<std::optional<plain_answer>(
+        std::string_view path, std::string_view query, std::string_view body)>
+        on_reserved;
+};
+
+class caller_listener
+{
+public:
+    // Throws std::system_error when the address cannot be bound.
+    caller_listener(event_base* base, caller_listener_options options,
+                    caller_listener_hooks hooks);
+    ~caller_listener();
+    caller_listener(const caller_listener&) = delete;
+    caller_listener& operator=(const caller_listener&) = delete;
+
+    // Answers carry `Connection: close` from now on.
+    void close_after_answers();
+
+    std::size_t connections() const
+    {
+        return this->lines.size();
+    }
+
+private:
+    using steady_time = std::chrono::steady_clock::time_point;
+
+    // One connection. `http` is known from its first request on; evhttp then reports the
+    // end of the connection.
+    struct line
+    {
+        caller_listener* owner = nullptr;
+        bufferevent* transport = nullptr;
+        evhttp_connection* http = nullptr;
+        entry::exchange_id running = 0;
+        std::uint64_t serial = 0; // of the request being served; 0: none
+        steady_time last_input;
+        std::optional<steady_time> request_began; // first byte of the request being read
+    };
+
+    static bufferevent* make_transport(event_base* base, void* user);
+    static void on_input(evbuffer* input, const evbuffer_cb_info* info, void* user);
+    void sweep();
+    void limit_accepts();
+    void serve(evhttp_request* call);
+    void forward(evhttp_request* call);
+    void reply(evhttp_request* call, const entry::answer& made);
+    line& line_of(evhttp_request* call);
+    void remove(const line& ended);
+
+    event_base* base;
+    caller_listener_options options;
+    caller_listener_hooks hooks;
+    evhttp* server = nullptr;
+    bool closing = false;
+    std::uint64_t next_serial = 1;
+    evconnlistener* listener = nullptr;
+    std::unordered_map<bufferevent*, std::unique_ptr<line>> lines;
+    std::optional<periodic_timer> sweeper;
+};
+
+} // namespace pistachiospan::daemon::internal
+
+#endif
--- /dev/null
+++ b/pistachiospan/entry/internal/exchange.hpp
@@ -0,0 +1,45 @@
+// State of one request in the pipeline.
+
+#ifndef PISTACHIOSPAN_ENTRY_INTERNAL_EXCHANGE_HPP
+#define PISTACHIOSPAN_ENTRY_INTERNAL_EXCHANGE_HPP
+
+#include "pistachiospan/entry/pipeline.hpp"
+
+namespace pistachiospan::entry::internal
+{
+
+// One request from its arrival to its answer.
+struct exchange
+{
+    exchange_id id = 0;
+    caller_request request;
+    answer_handler done;
+    std::string account;
+    std::string key_hash;
+    std::string route;
+    std::string group;
+    bool open_route = false;
+    bool idempotent = true;
+    bool relayed_in = false;
+    bool through_once = false; // a non-idempotent request with a key
+    once::attempt_id attempt = 0;
+    wall_time arrived_wall;
+    time_point arrived;
+    time_point deadline;
+    time_point stage_began;
+    time_point sent;
+    duration limit_wait{0};
+    duration queue_wait{0};
+    std::uint64_t ticket = 0; // waits for a token
+    bool in_router = false;   // the router counts it
+    upstream_call call = 0;
+    std::string upstream;
+    std::vector<std::string> excluded;
+    std::uint32_t attempts = 0;
+    time_point retry_at;           // end of the backoff
+    bool may_have_run = false; // an earlier attempt may have run
+};
+
+} // namespace pistachiospan::entry::internal
+
+#endif
--- a/pistachiospan/once/internal/protocol.cpp
+++ b/pistachiospan/once/internal/protocol.cpp
@@ -246,6 +246,7 @@
 
 result<issued_key> read_issued_key(std::string_view text, std::string_view secret)
 {
+    text = text.substr(0, text.find(suffix_mark));
     const std::size_t end = text.rfind('-');
     const std::string_view signed_part = text.substr(0, end);
     if (!equal_constant_time(sign(signed_part, secret), text.substr(end + 1)))
--- a/pistachiospan/once/internal/protocol.hpp
+++ b/pistachiospan/once/internal/protocol.hpp
@@ -170,7 +170,8 @@
 void from_json(const nlohmann::json& in, resolution& value);
 
 // A key issued by the system: p1-<shard>-<epoch>-<ms since 1970>-<nonce>-<signature>,
-// all in hexadecimal digits.
+// all in hexadecimal digits. A caller that caches a look-up makes many keys of one issued
+// key by appending '~' and any text.
 struct issued_key
 {
     std::uint32_t shard = 0;
@@ -179,6 +180,7 @@
 };
 
 inline constexpr std::string_view issued_prefix = "p1-";
+inline constexpr char suffix_mark = '~';
 
 std::string write_issued_key(const issued_key& key, std::string_view nonce,
                              std::string_view secret);
--- a/pistachiospan/once/once.hpp
+++ b/pistachiospan/once/once.hpp
@@ -189,7 +189,8 @@
     bool left() const;
 
     // A key whose shard has its primary in this data centre, if there is one. Nothing
-    // until a view is known.
+    // until a view is known. Callers may append '~' and a text of their own, which makes
+    // another key of the same shard and age.
     std::optional<std::string> issue_key(wall_time wall);
 
     std::size_t record_count() const;
--- a/pistachiospan/settings/settings.cpp
+++ b/pistachiospan/settings/settings.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <set>
+#include <sstream>
 
 namespace pistachiospan::settings
 {
@@ -141,18 +142,29 @@
                   { return this->take_seed(given, lines); });
     }
 
+    // "vm-2 127.0.0.1:9002 penang-2 semenanjung"
     result<bool> take_seed(const ini::entry& given,
                            std::map<std::string, std::size_t>& lines)
     {
-        auto address = ini::parse_endpoint(given.value);
-        if (!address)
-            return address.error();
-        const auto [seen, is_new] = lines.emplace(address.value(), given.line);
+        std::istringstream words(given.value);
+        seed_peer peer;
+        std::string surplus;
+        words >> peer.id.value >> peer.address >> peer.data_centre >> peer.region;
+        if (!words || (words >> surplus))
+            return failure(errc::invalid_argument,
+                           "a seed has four parts; write VM id, address, data centre "
+                           "and region, such as 'vm-2 10.0.0.2:9000 dc-1 north'");
+        for (const std::string& name : {peer.id.value, peer.data_centre, peer.region})
+            if (const auto checked = ini::parse_name(name); !checked)
+                return checked.error();
+        if (const auto checked = ini::parse_endpoint(peer.address); !checked)
+            return checked.error();
+        const auto [seen, is_new] = lines.emplace(peer.id.value, given.line);
         if (!is_new)
-            return failure(errc::invalid_argument, "this address was given in line " +
+            return failure(errc::invalid_argument, "this VM was given in line " +
                                                        std::to_string(seen->second) +
                                                        "; remove one of the two");
-        this->made.seeds.push_back(std::move(address).value());
+        this->made.seeds.push_back(std::move(peer));
         return true;
     }
 
--- a/pistachiospan/settings/settings.hpp
+++ b/pistachiospan/settings/settings.hpp
@@ -29,6 +29,15 @@
     error,
 };
 
+// A VM that is asked while the platform is away.
+struct seed_peer
+{
+    vm_id id;
+    std::string address; // ip:port of its peer listener
+    std::string data_centre;
+    std::string region;
+};
+
 struct settings
 {
     // [vm]
@@ -45,8 +54,8 @@
     duration platform_timeout = std::chrono::seconds(2);
 
     // [peers]
-    std::string peer_secret;        // bytes shared by all daemons of the fleet
-    std::vector<std::string> seeds; // peer listeners to ask while the platform is away
+    std::string peer_secret;      // bytes shared by all daemons of the fleet
+    std::vector<seed_peer> seeds; // VMs to ask while the platform is away
 
     // [limits]
     std::uint64_t max_header = std::uint64_t{16} * 1024; // bytes of a request's header
--- a/pistachiospan/settings/settings_test.cpp
+++ b/pistachiospan/settings/settings_test.cpp
@@ -22,8 +22,8 @@
                           "timeout = 750 ms\n"
                           "[peers]\n"
                           "secret = correct horse battery\n"
-                          "seed = 127.0.0.1:9002\n"
-                          "seed = 127.0.0.1:9003\n"
+                          "seed = vm-2 127.0.0.1:9002 a-1 a\n"
+                          "seed = vm-3 127.0.0.1:9003 b-1 b\n"
                           "[limits]\n"
                           "max_header = 8 KiB\n"
                           "max_connections = 500\n"
@@ -53,7 +53,11 @@
     BOOST_TEST(read.peers == "[::1]:9001");
     BOOST_TEST((read.platform_timeout == std::chrono::milliseconds(750)));
     BOOST_TEST(read.peer_secret == "correct horse battery");
-    BOOST_TEST(read.seeds.size() == 2U);
+    BOOST_REQUIRE(read.seeds.size() == 2U);
+    BOOST_TEST(read.seeds[1].id.value == "vm-3");
+    BOOST_TEST(read.seeds[1].address == "127.0.0.1:9003");
+    BOOST_TEST(read.seeds[1].data_centre == "b-1");
+    BOOST_TEST(read.seeds[1].region == "b");
     BOOST_TEST(read.max_header == 8192U);
     BOOST_TEST((read.idle_timeout == std::chrono::minutes(2)));
     BOOST_TEST((read.level == log_level::debug));
@@ -93,7 +97,10 @@
         {"750 ms", "0 s", "10 ms to 1 h"},
         {"secret = correct horse battery", "", "needs either 'secret' or"},
         {"secret = correct", "secret_hex = 0\nsecret = correct", "exactly one"},
-        {"seed = 127.0.0.1:9003", "seed = 127.0.0.1:9002", "given in line 13"},
+        {"seed = vm-3", "seed = vm-2", "given in line 13"},
+        {"seed = vm-3 127.0.0.1:9003 b-1 b", "seed = 127.0.0.1:9003", "four parts"},
+        {"9003 b-1 b", "9003 b-1 b c", "four parts"},
+        {"127.0.0.1:9003", "127.0.0.1", "not an address"},
         {"8 KiB", "8 KB", "unknown unit 'KB'"},
         {"= 500", "= 0", "1 to 1000000"},
         {"= debug", "= verbose", "unknown level"},
