--- a/pistachiospan/route/internal/router_catalogue.cpp
+++ b/pistachiospan/route/internal/router_catalogue.cpp
@@ -72,6 +72,10 @@
     this->set_links(now, next);
     this->split_limits();
     this->grow_if_allowed(now);
+    for (const auto& [name, group] : this->groups)
+    {
+        this->update_move(now, *group);
+    }
     this->refresh_all(now);
     this->remove_absent_groups();
     this->pump_all(now);
@@ -91,7 +95,7 @@
         {
             state = std::make_unique<group_state>(this->options.fair);
             state->name = name;
-            state->service = microseconds(this->options.initial_service);
+            state->service.value = microseconds(this->options.initial_service);
             state->relay_service = state->service;
             state->cap = {.current = unlimited, .target = unlimited};
         }
@@ -151,9 +155,11 @@
     target.total_slots = group.slots;
     target.total_connections = group.connections;
     target.warm_up = group.warm_up;
-    if ((added || returned) && this->has_catalogue)
+    if ((added || returned) && this->has_catalogue && !entry.drain)
     {
+        target.group->move_changed = true;
         target.warm_start = now;
+        target.moving = true;
         target.state = standing::serving;
     }
     if (entry.drain && !target.catalogue_drain)
--- a/pistachiospan/route/internal/router_implementation.hpp
+++ b/pistachiospan/route/internal/router_implementation.hpp
@@ -19,6 +19,36 @@
 namespace internal
 {
 
+// A planned move of a group's work to upstreams that were added or returned.
+struct planned_move
+{
+    shift_controller control;
+    // Requests that the destination may get now. Each request of the group adds the part
+    // of the move times the destination's part of the slots.
+    double credit = 0;
+    double target = 0;
+    double latency_sum = 0; // microseconds, since the last decision
+    std::uint32_t samples = 0;
+    double headroom_sum = 0;
+    std::uint32_t headroom_samples = 0;
+};
+
+// Mean over the last 32 samples or the last second, whichever holds fewer samples.
+struct running_mean
+{
+    double value = 0; // microseconds
+    time_point sampled{};
+
+    void add(time_point now, double sample)
+    {
+        constexpr double least_weight = 1.0 / 32;
+        const double passed = std::chrono::duration<double>(now - this->sampled).count();
+        const double weight = std::max(least_weight, 1 - std::exp(-passed));
+        this->value += (sample - this->value) * weight;
+        this->sampled = now;
+    }
+};
+
 struct group_state
 {
     explicit group_state(bool fair) : queue(fair) {}
@@ -32,8 +62,10 @@
     std::uint32_t in_flight = 0;
     std::uint64_t capacity = 0; // sum over the upstreams
     std::uint32_t relays = 0;   // in flight
-    double service = 0;         // microseconds, mean
-    double relay_service = 0;
+    running_mean service;
+    running_mean relay_service;
+    std::optional<planned_move> move;
+    bool move_changed = false; // the version being applied adds destinations
     fair_queue queue;
 };
 
@@ -63,13 +95,6 @@
     bool cancelled = false;
 };
 
-// Moves a mean over about 32 samples.
-inline void blend(double& mean, double sample)
-{
-    constexpr double weight = 1.0 / 32;
-    mean = mean == 0 ? sample : mean + (sample - mean) * weight;
-}
-
 inline double microseconds(duration span)
 {
     return static_cast<double>(span.count());
@@ -117,6 +142,7 @@
     router_counts totals;
     std::map<std::string, std::unique_ptr<internal::upstream_state>, std::less<>>
         upstreams;
+    std::map<std::string, std::unique_ptr<internal::group_state>, std::less<>> groups;
 
 private:
     // Catalogue and share.
@@ -146,6 +172,14 @@
     bool may_eject(const internal::upstream_state& of) const;
     void eject(time_point now, internal::upstream_state& of);
 
+    // Planned moves.
+    void update_move(time_point now, internal::group_state& group);
+    void advance_moves(time_point now);
+    void end_move(time_point now, internal::group_state& group);
+    void sample_move(internal::group_state& group) const;
+    static void charge_move(internal::group_state& group,
+                            const internal::upstream_state& chosen);
+
     // Selection.
     bool place(time_point now, internal::group_state& group, const request& asked,
                decision& out);
@@ -196,7 +230,6 @@
     std::uint64_t next_ordinal = 0;
     internal::held_limit data_centre_cap{.current = internal::unlimited,
                                          .target = internal::unlimited};
-    std::map<std::string, std::unique_ptr<internal::group_state>, std::less<>> groups;
     std::map<std::string, time_point> elsewhere; // address: last in another data centre
     std::map<std::pair<time_point, std::uint64_t>, internal::upstream_state*> wakes;
     std::map<std::string, internal::peer_state> peers;
--- a/pistachiospan/route/internal/router_queue.cpp
+++ b/pistachiospan/route/internal/router_queue.cpp
@@ -39,7 +39,7 @@
 {
     const auto slots = static_cast<double>(std::min<std::uint64_t>(
         {group.capacity, group.cap.current, this->data_centre_cap.current}));
-    return slots / group.service + group.relays / group.relay_service;
+    return slots / group.service.value + group.relays / group.relay_service.value;
 }
 
 duration router::implementation::wait_of(time_point now, const group_state& group,
@@ -84,7 +84,7 @@
     const std::uint32_t weight = this->weight_of(incoming.account);
     const double ahead = group.queue.ahead(incoming.account, weight);
     const duration wait = this->wait_of(now, group, ahead);
-    const duration needed = wait + span_of(group.service);
+    const duration needed = wait + span_of(group.service.value);
     if (needed > incoming.deadline - now)
     {
         return this->refuse(refusal::deadline_too_near,
@@ -171,7 +171,7 @@
         [&](const request& each, double ahead)
         {
             const double wait = rate > 0 ? ahead / rate : 0;
-            const duration needed = span_of((wait + group.service) / 2);
+            const duration needed = span_of((wait + group.service.value) / 2);
             return now + needed >= each.deadline;
         });
     const duration retry_after =
--- a/pistachiospan/route/internal/router_selection.cpp
+++ b/pistachiospan/route/internal/router_selection.cpp
@@ -184,7 +184,12 @@
     of.failure_rate -= of.failure_rate * failure_weight;
     of.last_success = now;
     of.add_latency(now, latency, this->options.latency_memory);
-    blend(of.group->service, microseconds(latency));
+    of.group->service.add(now, microseconds(latency));
+    if (of.moving && of.group->move)
+    {
+        of.group->move->latency_sum += microseconds(latency);
+        of.group->move->samples += 1;
+    }
     if (of.state != standing::serving)
     {
         of.state = standing::serving;
@@ -310,7 +315,7 @@
     double latency = of.latency_at(now, this->options.latency_memory);
     if (of.latency == 0)
     {
-        latency = of.group->service;
+        latency = of.group->service.value;
     }
     const bool outranked =
         of.last_success && now - *of.last_success < this->options.report_outranked;
@@ -336,6 +341,30 @@
     return nullptr;
 }
 
+namespace
+{
+
+// Free upstreams that the request does not exclude. During a planned move only those of
+// the side whose turn it is, if any of them is free.
+std::vector<upstream_state*> eligible(const group_state& group, const request& asked)
+{
+    std::vector<upstream_state*> free;
+    std::copy_if(group.available.begin(), group.available.end(), std::back_inserter(free),
+                 [&](const upstream_state* each)
+                 { return !contains(asked.excluded, each->address); });
+    if (group.move)
+    {
+        const bool destination = group.move->credit >= 1;
+        const auto other = std::stable_partition(free.begin(), free.end(),
+                                                 [destination](const upstream_state* each)
+                                                 { return each->moving == destination; });
+        free.erase(other == free.begin() ? free.end() : other, free.end());
+    }
+    return free;
+}
+
+} // namespace
+
 upstream_state* router::implementation::select(time_point now, group_state& group,
                                                const request& asked)
 {
@@ -348,11 +377,9 @@
     }
     std::vector<upstream_state*> filtered;
     const auto* from = &group.available;
-    if (!asked.excluded.empty())
+    if (!asked.excluded.empty() || group.move)
     {
-        std::copy_if(from->begin(), from->end(), std::back_inserter(filtered),
-                     [&](const upstream_state* each)
-                     { return !contains(asked.excluded, each->address); });
+        filtered = eligible(group, asked);
         from = &filtered;
     }
     if (from->size() < 2)
@@ -373,6 +400,7 @@
     {
         if (upstream_state* chosen = this->select(now, group, asked))
         {
+            charge_move(group, *chosen);
             this->start(now, group, asked, chosen, {});
             out = {.kind = decision_kind::dispatched, .upstream = chosen->address};
             return true;
--- a/pistachiospan/route/internal/upstream_state.hpp
+++ b/pistachiospan/route/internal/upstream_state.hpp
@@ -48,6 +48,7 @@
     time_point drain_signal{};
     std::optional<time_point> drain_began; // until the last request has ended
 
+    bool moving = false;                  // destination of its group's planned move
     std::optional<time_point> warm_start; // none: warm
     standing state = standing::serving;
     time_point ejected_until{};
--- a/pistachiospan/route/route.hpp
+++ b/pistachiospan/route/route.hpp
@@ -119,6 +119,55 @@
     duration age{0}; // time since the peer took the figures
 };
 
+struct shift_options
+{
+    double step = 0.1;                           // part of the moved work in one step
+    duration interval = std::chrono::seconds(2); // between two steps
+    double latency_bound = 2;    // times the baseline; at or above it a step is undone
+    double least_headroom = 0.1; // free part of the destination below which it waits
+};
+
+// What was measured at the destination of a move since the last step.
+struct destination_view
+{
+    double headroom = 1;       // mean free part of the slots that it may use
+    duration latency{0};       // mean
+    std::uint32_t samples = 0; // of the latency
+    bool owned = true;         // false: this VM may not send there at the present step
+};
+
+// Advances one planned move. The destination begins with one step of the moved work. Each
+// interval decides once: latency at or above the bound undoes a step and skips the next
+// interval; little headroom or no sample waits; otherwise the next step follows. A VM
+// that owns nothing of the destination goes on without samples.
+class shift_controller
+{
+public:
+    enum class state
+    {
+        advancing,
+        waiting,
+        stepping_back,
+        done,
+    };
+
+    // `baseline` is the latency before the move.
+    shift_controller(shift_options options, time_point now, duration baseline);
+
+    // True when the time has come to decide; call update() with what was measured.
+    bool due(time_point now) const;
+    state update(time_point now, const destination_view& seen);
+
+    // Part of the moved work that may be at the destination, 0 to 1.
+    double part() const;
+
+private:
+    shift_options options;
+    duration baseline;
+    time_point next_decision;
+    std::uint32_t steps = 1;
+};
+
 struct router_options
 {
     std::string data_centre; // of this VM
@@ -162,6 +211,8 @@
     // Requests sent this long before a peer took its figures may not be in them.
     duration report_transit = std::chrono::milliseconds(20);
 
+    shift_options shift; // for upstreams that a version adds or returns
+
     // Link budget: bodies over this size use at most half of a link.
     std::uint64_t large_body = std::uint64_t{64} << 10;
     double large_part = 0.5; // 1 takes the reserve of small requests away (baseline)
@@ -199,9 +250,16 @@
     std::uint32_t connection_limit = 0;
     bool draining = false;
     bool ejected = false;
+    bool moving = false; // destination of a planned move
     duration latency{0};
 };
 
+struct move_view
+{
+    std::string group;
+    double part = 0; // of the moved work
+};
+
 class router
 {
 public:
@@ -212,7 +270,7 @@
 
     // Puts a version of the catalogue in force. Reduced limits, drains and removals apply
     // at once, raised limits after `activation` and the longest deadline. Upstreams added
-    // after the first version begin with one slot.
+    // after the first version begin with one slot and get their work in steps.
     void set_catalogue(time_point now, const catalogue::catalogue& next);
 
     // Shrinks to the new share at once for new work; never grows. A new router owns
@@ -250,6 +308,7 @@
     std::vector<group_load> headroom(time_point now);
     router_counts counts() const;
     std::vector<upstream_view> upstreams(time_point now) const;
+    std::vector<move_view> moves() const; // in progress
 
 private:
     class implementation;
--- a/pistachiospan/route/router.cpp
+++ b/pistachiospan/route/router.cpp
@@ -165,7 +165,7 @@
     }
     else if (how == outcome::ok)
     {
-        blend(ended.group->relay_service, microseconds(latency));
+        ended.group->relay_service.add(now, microseconds(latency));
     }
     else if (how != outcome::not_sent)
     {
@@ -214,6 +214,7 @@
     this->grow_if_allowed(now);
     this->expire_running(now);
     this->forget_removed(now);
+    this->advance_moves(now);
     std::erase_if(this->peers, [now](const auto& entry)
                   { return now - entry.second.taken > peer_memory; });
     this->pump_all(now);
@@ -346,9 +347,23 @@
                          .connection_limit = each->connections.current,
                          .draining = each->draining(),
                          .ejected = each->state != standing::serving,
+                         .moving = each->moving,
                          .latency = span_of(this->self->latency_of(now, *each))});
     }
     return views;
 }
 
+std::vector<move_view> router::moves() const
+{
+    std::vector<move_view> views;
+    for (const auto& [name, group] : this->self->groups)
+    {
+        if (group->move)
+        {
+            views.push_back({name, group->move->control.part()});
+        }
+    }
+    return views;
+}
+
 } // namespace pistachiospan::route
--- a/pistachiospan/route/router_test.cpp
+++ b/pistachiospan/route/router_test.cpp
@@ -338,3 +338,77 @@
     first.connection_closed(simulated.now, 2);
     BOOST_TEST((kind_of(3, 1s) == decision_kind::dispatched));
 }
+
+// Guards against a move that goes on while its destination is slow or full, and against
+// steps larger than a tenth.
+BOOST_AUTO_TEST_CASE(a_shift_advances_by_tenths_waits_and_steps_back)
+{
+    using state = shift_controller::state;
+    time_point now{};
+    shift_controller shift({}, now, 20ms);
+    const auto step = [&](const destination_view& seen)
+    {
+        while (!shift.due(now))
+        {
+            now += 100ms;
+        }
+        return shift.update(now, seen);
+    };
+    const destination_view good{.headroom = 0.5, .latency = 39ms, .samples = 10};
+    BOOST_TEST(shift.part() == 0.1);
+    BOOST_TEST((step(good) == state::advancing));
+    BOOST_TEST((step({.headroom = 0.5, .latency = 40ms, .samples = 10}) ==
+                state::stepping_back));
+    BOOST_TEST(shift.part() == 0.1);
+    BOOST_TEST(
+        (step({.headroom = 0.05, .latency = 20ms, .samples = 10}) == state::waiting));
+    BOOST_TEST((step({}) == state::waiting));
+    BOOST_TEST((step({.headroom = 0, .owned = false}) == state::advancing));
+    for (int tenth = 3; tenth <= 10; ++tenth)
+    {
+        BOOST_TEST((step(good) == state::advancing));
+        BOOST_TEST(shift.part() == tenth / 10.0, boost::test_tools::tolerance(1e-9));
+    }
+    BOOST_TEST((step(good) == state::done));
+    BOOST_TEST((now >= time_point(26s)));
+}
+
+// Guards against a planned move that gives added upstreams more than the step's part of
+// the requests while others are free, and against one that never ends.
+BOOST_AUTO_TEST_CASE(added_upstreams_get_their_part_of_the_requests_in_steps)
+{
+    world simulated(1);
+    simulated.add_router();
+    auto active = make_catalogue(4, 10);
+    simulated.start(active);
+    simulated.load(time_point(60s), 300);
+    simulated.run_until(time_point(2s));
+    for (const auto* address : {"n0", "n1", "n2", "n3"})
+    {
+        active.groups["g"].upstreams.push_back({address, "d"});
+    }
+    router& first = *simulated.routers[0];
+    first.set_catalogue(simulated.now, active);
+    const auto received = [&](const std::string& prefix)
+    {
+        double sum = 0;
+        for (int at = 0; at < 4; ++at)
+        {
+            sum += static_cast<double>(
+                simulated.upstreams[prefix + std::to_string(at)].received);
+        }
+        return sum;
+    };
+    while (!first.moves().empty() && simulated.now < time_point(60s))
+    {
+        const double part = first.moves()[0].part;
+        const double added = received("n");
+        const double others = received("u");
+        simulated.run_until(simulated.now + 1s);
+        const double moved = received("n") - added;
+        const double all = moved + received("u") - others;
+        BOOST_TEST(moved <= all * (part + 0.1) / 2 + 5, "part " << part);
+        BOOST_TEST(moved >= all * part / 4 - 5, "part " << part);
+    }
+    BOOST_TEST((simulated.now > time_point(20s) && simulated.now < time_point(40s)));
+}
--- a/pistachiospan/route/router_world_test.hpp
+++ b/pistachiospan/route/router_world_test.hpp
@@ -163,7 +163,7 @@
         }
         if (!this->chance(this->loss_rate))
         {
-            const duration late(this->chance(0.1)
+            const duration late(this->chance(this->late_rate)
                                     ? static_cast<std::int64_t>(this->random() % 500000)
                                     : 1000);
             this->at(end + late, [=, this] { this->complete(vm, id, how, taken); });
@@ -240,6 +240,7 @@
     std::uint32_t total_peak = 0;
     request_id next_id = 1;
     double mean_service = 20000;
+    double late_rate = 0.1; // completions up to 0.5 s late
     double loss_rate = 0;
     double cancel_rate = 0;
     double shed_rate = 0;
