Count late answers, bound the fake VM list, test doubtful answers to writes

Answers after the caller's deadline were counted as plain answers; the load tool now counts them apart. The fake VM list kept every version of the list; it now keeps one hour.

--- a/pistachiospan/store/fake_store.cpp
+++ b/pistachiospan/store/fake_store.cpp
@@ -80,6 +80,9 @@
 void memory_vm_list::set(time_point now, std::vector<vm_entry> entries)
 {
     this->history[now] = std::move(entries);
+    const auto kept = this->history.upper_bound(now - max_vm_list_lag);
+    if (kept != this->history.begin())
+        this->history.erase(this->history.begin(), std::prev(kept));
 }
 
 void memory_vm_list::add(time_point now, vm_entry entry)
--- a/pistachiospan/store/fake_store.hpp
+++ b/pistachiospan/store/fake_store.hpp
@@ -45,6 +45,9 @@
     revision last_revision = 0;
 };
 
+// How long the history of a VM list is kept.
+inline constexpr duration max_vm_list_lag = std::chrono::hours(1);
+
 // The list of VMs and its history, which is read with a lag.
 class memory_vm_list
 {
@@ -57,7 +60,7 @@
     result<bool> mark_leaving(time_point now, const vm_id& id, bool leaving = true);
     void remove(time_point now, const vm_id& id);
 
-    // The list as it was `lag` before `now`.
+    // The list as it was `lag` before `now`; `lag` is at most max_vm_list_lag.
     std::vector<vm_entry> list(time_point now, duration lag) const;
 
 private:
--- a/pistachiospan/store/fake_store_test.cpp
+++ b/pistachiospan/store/fake_store_test.cpp
@@ -132,4 +132,9 @@
     vms.remove(time_point(8s), {"vm-1"});
     BOOST_TEST(vms.list(time_point(9s), 2s).size() == 1U);
     BOOST_TEST(vms.list(time_point(10s), 2s).empty());
+    // The history is bounded, and the list at its start is kept.
+    vms.add(time_point(3h), {.id = {"vm-2"}});
+    vms.add(time_point(4h), {.id = {"vm-3"}});
+    BOOST_TEST(vms.list(time_point(4h), max_vm_list_lag).size() == 1U);
+    BOOST_TEST(vms.list(time_point(2h), max_vm_list_lag).empty());
 }
--- a/standin/load/load_report.cpp
+++ b/standin/load/load_report.cpp
@@ -175,10 +175,10 @@
 {
     std::ostringstream out;
     const double seconds = std::chrono::duration<double>(this->elapsed).count();
-    out << "sent " << this->counts.sent << ", answered " << this->counts.answered
-        << ", refused " << this->counts.refused << ", lost " << this->counts.lost
-        << ", wrong " << this->counts.wrong << ", not sent " << this->not_sent << " in "
-        << seconds << " s ("
+    out << "sent " << this->counts.sent << ", answered " << this->counts.answered << " ("
+        << this->counts.late << " after the deadline), refused " << this->counts.refused
+        << ", lost " << this->counts.lost << ", wrong " << this->counts.wrong
+        << ", not sent " << this->not_sent << " in " << seconds << " s ("
         << (seconds > 0 ? static_cast<double>(this->counts.answered) / seconds : 0.0)
         << " answers/s); " << this->attempts << " attempts, " << this->repeats
         << " repeats, " << this->lookups_failed << " look-ups failed\n";
--- a/standin/load/load_report.hpp
+++ b/standin/load/load_report.hpp
@@ -43,6 +43,7 @@
 {
     std::uint64_t sent = 0;
     std::uint64_t answered = 0; // completely and correctly
+    std::uint64_t late = 0;     // of the answered: after the deadline
     std::uint64_t wrong = 0;    // answered, but not with the answer to this request
     std::uint64_t lost = 0;     // no answer, a cut connection or none at all
     std::uint64_t refused = 0;
--- a/standin/load/load_run.cpp
+++ b/standin/load/load_run.cpp
@@ -281,8 +281,11 @@
     }
     else
     {
-        ++this->result.counts.answered;
-        ++account.counts.answered;
+        for (outcome_counts* each : {&this->result.counts, &account.counts})
+        {
+            ++each->answered;
+            each->late += answer.ended > work->deadline ? 1 : 0;
+        }
         const duration latency = answer.ended - work->scheduled;
         this->result.latency.add(latency);
         account.latency.add(latency);
--- a/standin/load/load_test.cpp
+++ b/standin/load/load_test.cpp
@@ -230,6 +230,13 @@
     upstream.behaviour.crash = 0.5;
     BOOST_TEST(run().counts.lost == 60U);
     upstream.behaviour.truncate = upstream.behaviour.crash = 0;
+    upstream.behaviour.late = 1;
+    upstream.behaviour.late_ms = 100;
+    options.deadline = 100ms; // the caller waits a little longer
+    const load_report late = run();
+    BOOST_TEST(late.counts.late == late.counts.answered);
+    upstream.behaviour.late = 0;
+    options.deadline = 60s;
     upstream.behaviour.shed = shed_policy::always;
     const load_report shed = run();
     BOOST_TEST((shed.counts.refusals.at({"http_503", "no"}) == 60U));
--- a/standin/platform/platform_test.cpp
+++ b/standin/platform/platform_test.cpp
@@ -194,6 +194,51 @@
                       std::invalid_argument);
 }
 
+// Guards against trusting an answer that does not prove what became of a write.
+BOOST_FIXTURE_TEST_CASE(doubtful_answers_to_writes_are_unknown_outcomes, setting)
+{
+    std::function<void(const exchange_ptr&)> reply;
+    http_server doubtful(base.get(), {}, [&](const exchange_ptr& call) { reply(call); });
+    store::http_platform through(
+        base.get(), {.address = doubtful.listen("127.0.0.1:0"), .timeout = ample});
+    const auto expect = [&](errc of_write, errc of_read)
+    {
+        BOOST_TEST(failed_with(write(through, "a", 0, "1"), of_write));
+        BOOST_TEST(failed_with(read(through, "a"), of_read));
+    };
+    for (const http_answer& answer :
+         {http_answer{.body = "{}"}, http_answer{.body = "not JSON"},
+          http_answer{.body = R"({"committed":true,"rows":[{"key":1}],"row":{}})"},
+          http_answer{.status = 500}, http_answer{.status = 503}})
+    {
+        reply = [&](const exchange_ptr& call)
+        {
+            call->answer(answer);
+        };
+        expect(errc::unknown_outcome, errc::unavailable);
+    }
+    reply = [](const exchange_ptr& call)
+    {
+        call->drop();
+    };
+    expect(errc::unknown_outcome, errc::unavailable);
+    reply = [](const exchange_ptr& call)
+    {
+        call->answer_truncated({.body = R"({"committed":true,"rows":[],"row":null})"});
+    };
+    expect(errc::unknown_outcome, errc::unavailable);
+    reply = [](const exchange_ptr& call)
+    {
+        call->answer({.status = 503, .headers = {{"X-Not-Run", "1"}}});
+    };
+    expect(errc::unavailable, errc::unavailable);
+    reply = [](const exchange_ptr& call)
+    {
+        call->answer({.status = 400});
+    };
+    expect(errc::invalid_argument, errc::invalid_argument);
+}
+
 // Guards against use of a destroyed client by answers under way.
 BOOST_FIXTURE_TEST_CASE(destruction_drops_calls_under_way, setting)
 {
