--- a/standin/load/load_test.cpp
+++ b/standin/load/load_test.cpp
@@ -59,7 +59,9 @@
                   [this, call](const pool_answer& answer)
                   {
                       if (!after || !after(call))
-                          call->answer({.status = answer.status, .body = answer.kept});
+                          call->answer({.status = answer.status,
+                                        .headers = answer_headers,
+                                        .body = answer.kept});
                   });
     }
 
@@ -68,6 +70,7 @@
     std::function<bool(const exchange_ptr&)> before; // true: has dealt with the request
     std::function<bool(const exchange_ptr&)> after;  // the same, once it has run
     std::multimap<std::string, time_point> arrivals; // by request id
+    std::vector<std::pair<std::string, std::string>> answer_headers;
     int lookups = 0;
     http_pool pool;
     http_server server;
@@ -218,6 +221,18 @@
     BOOST_TEST(report.describe()["accounts"].size() == 2U);
 }
 
+// Guards against reporting requests as lost when a VM ends its idle connections, as in a
+// graceful shutdown, and against a caller that never renews its look-up.
+BOOST_FIXTURE_TEST_CASE(closed_connections_lose_nothing, setting)
+{
+    first.answer_headers = second.answer_headers = {{"Connection", "close"}};
+    options.connections = 1;
+    options.accounts = {{.name = "of-a", .key = "a", .rate = 200}};
+    const load_report report = run();
+    BOOST_TEST(report.counts.answered == 60U);
+    BOOST_TEST(first.lookups + second.lookups > 1);
+}
+
 // Guards against damage that the tool does not see: every kind that upstreams can cause.
 BOOST_FIXTURE_TEST_CASE(damaged_answers_are_reported_by_kind, setting)
 {
--- a/standin/platform/platform_server.cpp
+++ b/standin/platform/platform_server.cpp
@@ -92,8 +92,8 @@
 platform_server::platform_server(event_base* base, platform_server_options options)
     : platform({.seed = options.seed, .start = now()}), options(std::move(options)),
       backend(platform), clock(base, [this] { this->settle(); }),
-      data(base, {}, [this](const exchange_ptr& call) { this->handle(call); }),
-      control(base, {}, [this](const exchange_ptr& call) { this->handle(call); }),
+      data(base, {}, [this](const exchange_ptr& call) { this->handle(call, false); }),
+      control(base, {}, [this](const exchange_ptr& call) { this->handle(call, true); }),
       data_address(data.listen(this->options.listen))
 {
     this->backend.link.latency = duration::zero();
@@ -109,13 +109,13 @@
         this->clock.start(*next - now());
 }
 
-void platform_server::handle(const exchange_ptr& call)
+void platform_server::handle(const exchange_ptr& call, bool may_close)
 {
     this->platform.advance(now());
     try
     {
         if (call->path().starts_with(control_path))
-            this->handle_control(call);
+            this->handle_control(call, may_close);
         else
             this->handle_data(call);
     }
@@ -183,12 +183,19 @@
         call->answer({.status = status_not_found, .body = problem("no such path")});
 }
 
-void platform_server::handle_control(const exchange_ptr& call)
+void platform_server::handle_control(const exchange_ptr& call, bool may_close)
 {
     const std::string route = call->method() + " " + call->path();
     const nlohmann::json body =
         is_write(*call) ? nlohmann::json::parse(call->body()) : nlohmann::json::object();
     store::testing::memory_vm_list& vms = this->platform.vms;
+    if (route == "POST /control" && body.contains("closed") && !may_close)
+    {
+        // A server must not be freed while it handles a request.
+        call->answer({.status = status_bad_request,
+                      .body = problem("closed is changed on the control address only")});
+        return;
+    }
     if (route == "POST /control")
         this->change(body);
     else if (route == "POST /control/vms")
--- a/standin/platform/platform_server.hpp
+++ b/standin/platform/platform_server.hpp
@@ -67,9 +67,9 @@
         std::uint32_t used = 0;
     };
 
-    void handle(const exchange_ptr& call);
+    void handle(const exchange_ptr& call, bool may_close);
     void handle_data(const exchange_ptr& call);
-    void handle_control(const exchange_ptr& call);
+    void handle_control(const exchange_ptr& call, bool may_close);
     void change(const nlohmann::json& wanted);
     nlohmann::json describe() const;
     bool over_limit(window& used, std::uint32_t limit);
--- a/standin/platform/platform_test.cpp
+++ b/standin/platform/platform_test.cpp
@@ -1,8 +1,8 @@
 #include "pistachiospan/store_http/store_http.hpp"
+#include "standin/load/http_pool.hpp"
 #include "standin/platform/platform_server.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <event2/buffer.h>
 
 using namespace pistachiospan;
 using namespace pistachiospan::standin;
@@ -131,27 +131,28 @@
     BOOST_TEST(failed_with(write(rows, "a", 1, "2"), errc::limit_exceeded));
     faults.overloaded = false;
 
-    const auto control = [&](const char* body)
+    const auto control = [&](const std::string& address, const std::string& body)
     {
-        const event_owner<evhttp_connection> line(evhttp_connection_base_bufferevent_new(
-            base.get(), nullptr, nullptr, "127.0.0.1",
-            parse_loopback(server.control_address()).port));
-        evhttp_request* const request = evhttp_request_new(
-            [](evhttp_request* answer, void* loop)
-            {
-                BOOST_TEST(evhttp_request_get_response_code(answer) == 200);
-                event_base_loopbreak(static_cast<event_base*>(loop));
-            },
-            base.get());
-        evbuffer_add(evhttp_request_get_output_buffer(request), body,
-                     std::char_traits<char>::length(body));
-        evhttp_make_request(line.get(), request, EVHTTP_REQ_POST, "/control");
+        int status = 0;
+        http_pool pool(base.get(), {});
+        pool.call({.address = address,
+                   .method = EVHTTP_REQ_POST,
+                   .target = "/control",
+                   .body_head = body},
+                  [&](const pool_answer& answer)
+                  {
+                      status = answer.status;
+                      event_base_loopbreak(base.get());
+                  });
         event_base_dispatch(base.get());
+        return status;
     };
-    control(R"({"closed":true})");
+    // A server freed by its own request would crash.
+    BOOST_TEST(control(server.address(), R"({"closed":true})") == 400);
+    BOOST_TEST(control(server.control_address(), R"({"closed":true})") == 200);
     BOOST_TEST(failed_with(write(rows, "a", 1, "3"), errc::unavailable));
     BOOST_TEST(failed_with(read(rows, "a"), errc::unavailable));
-    control(R"({"closed":false})");
+    BOOST_TEST(control(server.control_address(), R"({"closed":false})") == 200);
     BOOST_TEST(read(rows, "a").value()->value == "1");
 }
 
