--- a/pistachiospan/settings/settings.cpp
+++ b/pistachiospan/settings/settings.cpp
@@ -123,6 +123,7 @@
         from.required("address", this->made.platform_address, ini::parse_endpoint);
         from.optional("timeout", this->made.platform_timeout,
                       span_of_time(std::chrono::milliseconds(10), "10 ms to 1 h"));
+        from.optional("region", this->made.platform_region, ini::parse_name);
     }
 
     void read_peers(fields& from)
--- a/pistachiospan/settings/settings.hpp
+++ b/pistachiospan/settings/settings.hpp
@@ -43,6 +43,7 @@
     // [platform]
     std::string platform_address; // ip:port
     duration platform_timeout = std::chrono::seconds(2);
+    std::string platform_region; // region of its store; empty: not known
 
     // [peers]
     std::string peer_secret;        // bytes shared by all daemons of the fleet
--- a/pistachiospan/settings/settings_test.cpp
+++ b/pistachiospan/settings/settings_test.cpp
@@ -20,6 +20,7 @@
                           "[platform]\n"
                           "address = 127.0.0.1:7000\n"
                           "timeout = 750 ms\n"
+                          "region = b\n"
                           "[peers]\n"
                           "secret = correct horse battery\n"
                           "seed = 127.0.0.1:9002\n"
@@ -53,6 +54,7 @@
     BOOST_TEST(read.peers == "[::1]:9001");
     BOOST_TEST((read.platform_timeout == std::chrono::milliseconds(750)));
     BOOST_TEST(read.peer_secret == "correct horse battery");
+    BOOST_TEST(read.platform_region == "b");
     BOOST_TEST(read.seeds.size() == 2U);
     BOOST_TEST(read.max_header == 8192U);
     BOOST_TEST((read.idle_timeout == std::chrono::minutes(2)));
@@ -93,7 +95,7 @@
         {"750 ms", "0 s", "10 ms to 1 h"},
         {"secret = correct horse battery", "", "needs either 'secret' or"},
         {"secret = correct", "secret_hex = 0\nsecret = correct", "exactly one"},
-        {"seed = 127.0.0.1:9003", "seed = 127.0.0.1:9002", "given in line 13"},
+        {"seed = 127.0.0.1:9003", "seed = 127.0.0.1:9002", "given in line 14"},
         {"8 KiB", "8 KB", "unknown unit 'KB'"},
         {"= 500", "= 0", "1 to 1000000"},
         {"= debug", "= verbose", "unknown level"},
