--- a/pistachiospan/settings/settings_test.cpp
+++ b/pistachiospan/settings/settings_test.cpp
@@ -20,6 +20,7 @@
                           "[platform]\n"
                           "address = 127.0.0.1:7000\n"
                           "timeout = 750 ms\n"
+                          "region = b\n"
                           "[peers]\n"
                           "secret = correct horse battery\n"
                           "seed = vm-2 127.0.0.1:9002 a-1 a\n"
@@ -53,6 +54,7 @@
     BOOST_TEST(read.peers == "[::1]:9001");
     BOOST_TEST((read.platform_timeout == std::chrono::milliseconds(750)));
     BOOST_TEST(read.peer_secret == "correct horse battery");
+    BOOST_TEST(read.platform_region == "b");
     BOOST_REQUIRE(read.seeds.size() == 2U);
     BOOST_TEST(read.seeds[1].id.value == "vm-3");
     BOOST_TEST(read.seeds[1].address == "127.0.0.1:9003");
@@ -97,7 +99,7 @@
         {"750 ms", "0 s", "10 ms to 1 h"},
         {"secret = correct horse battery", "", "needs either 'secret' or"},
         {"secret = correct", "secret_hex = 0\nsecret = correct", "exactly one"},
-        {"seed = vm-3", "seed = vm-2", "given in line 13"},
+        {"seed = vm-3", "seed = vm-2", "given in line 14"},
         {"seed = vm-3 127.0.0.1:9003 b-1 b", "seed = 127.0.0.1:9003", "four parts"},
         {"9003 b-1 b", "9003 b-1 b c", "four parts"},
         {"127.0.0.1:9003", "127.0.0.1", "not an address"},
