Let requests wait for a planned move of a shard

A primary now closes a shard before it writes a view with another primary: attempts that wait for an acknowledgement end first, further keys wait for the new view, and the old primary relays them (at most two relays per request).

Acknowledgements of outcomes are sent together, once per tick. Shards are claimed only when the membership is known for 2 s, because an early claim puts too many on one VM.

--- a/pistachiospan/once/failure_test.cpp
+++ b/pistachiospan/once/failure_test.cpp
@@ -43,7 +43,7 @@
     }
 
     answer begin(std::size_t at, const std::string& key, std::uint64_t print,
-                 bool relayed)
+                 std::uint32_t relays)
     {
         const auto made = std::make_shared<std::optional<decision>>();
         this->nodes[at].once->begin(this->local(at),
@@ -51,7 +51,7 @@
                                      .key = key,
                                      .fingerprint = print,
                                      .deadline = this->local(at) + 2s,
-                                     .relayed = relayed,
+                                     .relays = relays,
                                      .wall = this->wall(at)},
                                     [made](decision each) { *made = std::move(each); });
         for (int step = 0; step < 250 && !*made; ++step)
@@ -59,13 +59,13 @@
         return {.at = at, .made = *made};
     }
 
-    // Sends a request and follows a relay.
+    // Sends a request and follows its relays.
     answer ask(std::size_t at, const std::string& key, std::uint64_t print = 1)
     {
-        answer first = this->begin(at, key, print, false);
-        if (first.text() != "relay")
-            return first;
-        return this->begin(index_of(first.made->relay_to), key, print, true);
+        answer last = this->begin(at, key, print, 0);
+        for (std::uint32_t relays = 1; last.text() == "relay"; ++relays)
+            last = this->begin(index_of(last.made->relay_to), key, print, relays);
+        return last;
     }
 
     void finish(const answer& permitted, outcome result)
@@ -269,8 +269,16 @@
     vms.nodes[2].leaving = true;
     vms.nodes[2].once->leave(vms.local(2));
     duration passed{0};
-    for (; !vms.nodes[2].once->left() && passed < 30s; passed += 100ms)
-        vms.run_for(100ms);
+    const time_point began = vms.clock.now;
+    for (int number = 0; vms.clock.now - began < 3s; ++number)
+    {
+        // A request that arrives during the handover waits for it.
+        vms.complete(static_cast<std::size_t>(number % 4),
+                     "new-" + std::to_string(number));
+        vms.run_for(1ms);
+        if (!vms.nodes[2].once->left())
+            passed = vms.clock.now - began;
+    }
     BOOST_TEST_MESSAGE("handed over in " << passed.count() / 1000 << " ms");
     BOOST_TEST(vms.nodes[2].once->left());
     vms.finish(running, {.status = 200, .body = "slow"});
--- a/pistachiospan/once/internal/engine.hpp
+++ b/pistachiospan/once/internal/engine.hpp
@@ -60,6 +60,17 @@
         decision_handler done;
     };
 
+    // A request that arrived during a handover.
+    struct parked_request
+    {
+        std::string account;
+        std::string key;
+        request asked;
+        std::size_t shard = 0;
+        time_point since;
+        decision_handler done;
+    };
+
     // Outcome of an attempt that is owed to the primary of a later view.
     struct owed_resolution
     {
@@ -79,7 +90,16 @@
     using attempt_map = std::map<attempt_id, attempt>;
 
     // Requests (requests.cpp).
-    void decide(time_point now, const request& asked, decision_handler done);
+    void decide(time_point now, const request& asked, bool may_wait,
+                decision_handler done);
+    void park(time_point now, const request& asked, std::size_t index,
+              decision_handler done);
+    void retry_parked(time_point now, std::optional<std::size_t> only_shard);
+    bool handing_over(const internal::shard& owner) const;
+    bool has_pending(std::size_t index) const;
+    std::optional<internal::view> close_for(internal::shard& owner,
+                                            const internal::view& next);
+    void send_owed_ack(internal::shard& owner);
     void decide_elsewhere(time_point now, const request& asked, std::size_t index,
                           const decision_handler& done);
     void decide_recorded(time_point now, const request& asked, internal::record& found,
@@ -192,13 +212,14 @@
     random_engine random;
     std::array<internal::shard, shard_count> shards;
     std::unordered_map<vm_id, peer_state> others;
-    bool peers_known = false;
+    std::optional<time_point> peers_since; // when the membership was first told
     bool leaving = false;
 
     attempt_map attempts;
     attempt_id next_attempt = 1;
     std::map<std::uint64_t, owed_resolution> resolutions;
     std::vector<unproven_refusal> unproven;
+    std::vector<parked_request> parked;
     std::uint64_t next_serial = 1;
     std::uint64_t next_key = 1;
     std::size_t kept_bytes = 0;
--- a/pistachiospan/once/internal/replication.cpp
+++ b/pistachiospan/once/internal/replication.cpp
@@ -1,5 +1,7 @@
 #include "pistachiospan/once/internal/engine.hpp"
 
+#include <algorithm>
+
 namespace pistachiospan::once
 {
 
@@ -290,7 +292,31 @@
         const duration promised = this->opts.promise + this->opts.promise / 100 + 50ms;
         owner.promised_until = std::max(owner.promised_until, now + promised);
     }
-    this->send(from, "intent_ack", answer);
+    const bool urgent =
+        answer.status != ack_status::held || received.transfer != 0 ||
+        received.entries.empty() ||
+        std::any_of(received.entries.begin(), received.entries.end(),
+                    [](const entry& each) { return each.state == record_state::intent; });
+    if (owner.owed_ack && received.transfer == 0 && target != nullptr)
+    {
+        answer.versions.insert(answer.versions.end(), owner.owed_ack->versions.begin(),
+                               owner.owed_ack->versions.end());
+        answer.sent = std::max(answer.sent, owner.owed_ack->sent);
+        owner.owed_ack.reset();
+    }
+    if (urgent)
+        this->send(from, "intent_ack", answer);
+    else
+        owner.owed_ack = std::make_unique<ack>(std::move(answer));
+}
+
+// Acknowledges outcomes, for which no request waits, together.
+void executor::engine::send_owed_ack(shard& owner)
+{
+    if (!owner.owed_ack)
+        return;
+    this->send(owner.current.primary.id, "intent_ack", *owner.owed_ack);
+    owner.owed_ack.reset();
 }
 
 void executor::engine::on_ack(time_point now, const vm_id& from, const ack& received)
--- a/pistachiospan/once/internal/requests.cpp
+++ b/pistachiospan/once/internal/requests.cpp
@@ -44,7 +44,7 @@
 void executor::engine::begin(time_point now, const request& asked, decision_handler done)
 {
     this->drain(now);
-    this->decide(now, asked, std::move(done));
+    this->decide(now, asked, true, std::move(done));
     this->flush();
 }
 
@@ -76,7 +76,8 @@
     return this->exclusive(owner, now) ? ran::no : ran::unknown;
 }
 
-void executor::engine::decide(time_point now, const request& asked, decision_handler done)
+void executor::engine::decide(time_point now, const request& asked, bool may_wait,
+                              decision_handler done)
 {
     if (asked.key.empty() || asked.key.size() > max_key_size)
         return this->refuse(done, {.code = "invalid_key",
@@ -97,15 +98,77 @@
     const std::size_t index = issued ? issued->shard : id.high % shard_count;
     shard& owner = this->shards[index];
     if (!this->serving(owner, now))
+    {
+        const view& known = owner.current;
+        const bool soon =
+            known.primary.is(this->me) || asked.relays >= max_relays ||
+            (asked.relays > 0 && (known.backup.is(this->me) || owner.joining != nullptr));
+        if (may_wait && soon)
+            return this->park(now, asked, index, std::move(done));
         return this->decide_elsewhere(now, asked, index, done);
+    }
     const auto found = owner.records.find(id);
     if (found != owner.records.end() && found->second.state != record_state::free)
         return this->decide_recorded(now, asked, found->second, std::move(done));
+    if (may_wait && this->handing_over(owner))
+        return this->park(now, asked, index, std::move(done));
     if (auto refused = this->check_new(now, asked, owner, issued ? &*issued : nullptr))
         return this->prove(now, index, id, std::move(*refused), std::move(done));
     this->start(now, asked, index, id, std::move(done));
 }
 
+// Waits for a view that is about to change, for the time of an acknowledgement.
+void executor::engine::park(time_point now, const request& asked, std::size_t index,
+                            decision_handler done)
+{
+    this->parked.push_back({.account = std::string(asked.account),
+                            .key = std::string(asked.key),
+                            .asked = asked,
+                            .shard = index,
+                            .since = now,
+                            .done = std::move(done)});
+}
+
+void executor::engine::retry_parked(time_point now, std::optional<std::size_t> only_shard)
+{
+    std::vector<parked_request> waiting = std::move(this->parked);
+    this->parked.clear();
+    for (parked_request& each : waiting)
+    {
+        const bool overdue = now - each.since >= this->opts.ack_timeout;
+        const shard& owner = this->shards[each.shard];
+        const bool settled = this->serving(owner, now) && !this->handing_over(owner);
+        const bool adopted = only_shard && *only_shard == each.shard;
+        if (!overdue && !settled && !adopted)
+        {
+            this->parked.push_back(std::move(each));
+            continue;
+        }
+        request asked = each.asked;
+        asked.account = each.account;
+        asked.key = each.key;
+        const time_point since = each.since;
+        const std::size_t before = this->parked.size();
+        this->decide(now, asked, !overdue, std::move(each.done));
+        if (this->parked.size() > before)
+            this->parked.back().since = since;
+    }
+}
+
+bool executor::engine::handing_over(const shard& owner) const
+{
+    const proposal& proposed = owner.proposed;
+    const bool maybe_written = proposed.call != 0 || proposed.uncertain;
+    return owner.closing || (maybe_written && !proposed.next.primary.is(this->me));
+}
+
+bool executor::engine::has_pending(std::size_t index) const
+{
+    return std::any_of(this->attempts.begin(), this->attempts.end(),
+                       [&](const auto& each)
+                       { return each.second.shard == index && !each.second.permitted; });
+}
+
 // A VM that does not serve the shard knows nothing of the key, so it never says "no".
 void executor::engine::decide_elsewhere(time_point now, const request& asked,
                                         std::size_t index, const decision_handler& done)
@@ -120,13 +183,13 @@
                                               "key and does not serve it yet",
                                               wait));
     }
-    if (!asked.relayed && primary && this->is_live(primary))
+    if (asked.relays < max_relays && primary && this->is_live(primary))
         return this->answer(done, {.what = verdict::relay, .relay_to = primary.id});
     this->rescan(now);
     this->refuse(done, unavailable(ran::unknown,
                                    "the VM that holds the shard of this key is not "
                                    "reachable from here",
-                                   asked.relayed ? retry_soon : retry_failover));
+                                   asked.relays > 0 ? retry_soon : retry_failover));
 }
 
 void executor::engine::decide_recorded(time_point now, const request& asked,
@@ -211,7 +274,7 @@
     if (owner.backup && (owner.backup->silent || owner.backup->refused))
         return unavailable(run, "the backup of this key's shard does not answer",
                            retry_failover);
-    if (this->leaving && owner.proposed.call != 0)
+    if (this->handing_over(owner))
         return unavailable(run, "the shard of this key is being handed over", retry_soon);
     return std::nullopt;
 }
@@ -491,6 +554,7 @@
         this->maintain(now, index);
     this->expire_waiters(now);
     this->answer_unproven(now);
+    this->retry_parked(now, std::nullopt);
     this->resend_resolutions(now);
     this->sweep(now, this->shards[this->sweep_at]);
     this->sweep_at = (this->sweep_at + 1) % shard_count;
--- a/pistachiospan/once/internal/shard.hpp
+++ b/pistachiospan/once/internal/shard.hpp
@@ -70,7 +70,12 @@
     std::optional<time_point> confirmed_at; // the store named this epoch then
     time_point unknown_until;  // lost records may concern keys chosen by callers
     time_point promised_until; // as backup: executes nothing in a newer view before
-    bool down = false;         // the other member is not live (others: both are not)
+    // Primary: a handover waits for the attempts that are not permitted yet; further keys
+    // wait for the handover.
+    bool closing = false;
+    std::optional<time_point> swapping_since;
+    std::unique_ptr<ack> owed_ack; // backup: of outcomes, sent with the next message
+    bool down = false;             // the other member is not live (others: both are not)
     time_point down_since;
     std::uint32_t next_sequence = 1;
     std::uint32_t next_transfer = 1;
--- a/pistachiospan/once/internal/views.cpp
+++ b/pistachiospan/once/internal/views.cpp
@@ -57,7 +57,8 @@
         next[state.known.id] = std::move(state);
     }
     this->others = std::move(next);
-    this->peers_known = true;
+    if (!this->peers_since)
+        this->peers_since = now;
     this->flush();
 }
 
@@ -328,6 +329,7 @@
 {
     shard& owner = this->shards[index];
     this->observe_members(now, owner);
+    this->send_owed_ack(owner);
     if (owner.joining && now - owner.joining->last_heard > staging_time)
     {
         this->clear(owner.joining->records);
@@ -356,7 +358,8 @@
 std::optional<view> executor::engine::plan(time_point now, std::size_t index)
 {
     shard& owner = this->shards[index];
-    if (!this->peers_known)
+    // The membership is not complete in the first moments.
+    if (!this->peers_since || now - *this->peers_since < settled_time)
         return std::nullopt;
     if (owner.current.primary.is(this->me) && owner.has_state)
         return now >= owner.serve_from ? this->plan_as_primary(now, index) : std::nullopt;
@@ -381,6 +384,7 @@
     view next = owner.current;
     ++next.number;
     next.consented = true;
+    owner.closing = false;
     const replica* joiner = owner.joiner.get();
     const bool joiner_lost = joiner != nullptr && (this->replica_lost(now, *joiner) ||
                                                    !this->is_live(joiner->who));
@@ -394,13 +398,13 @@
     {
         next.primary = owner.current.backup;
         next.backup = joiner->who;
-        return next;
+        return this->close_for(owner, next);
     }
     if (joiner_ready && this->leaving)
     {
         next.primary = joiner->who;
         next.backup = {};
-        return next;
+        return this->close_for(owner, next);
     }
     if (joiner_ready)
     {
@@ -424,20 +428,43 @@
     {
         next.primary = owner.current.backup;
         next.backup = {};
-        return next;
+        return this->close_for(owner, next);
     }
     if (owner.backup && !backup_stays && !this->leaving)
     {
         next.backup = {};
         return next;
     }
-    const bool swap = backup_stays && owner.backup->unacknowledged.empty() &&
-                      this->wants_move(now, index) &&
-                      *this->preferred_primary(index) == owner.backup->who.id;
+    constexpr duration longest_swap = 1s;
+    const bool swapping =
+        owner.swapping_since && now - *owner.swapping_since < longest_swap;
+    const bool swap =
+        backup_stays && !this->leaving &&
+        (swapping || (this->wants_move(now, index) &&
+                      *this->preferred_primary(index) == owner.backup->who.id));
     if (!swap)
+    {
+        owner.swapping_since.reset();
         return std::nullopt;
+    }
+    if (!owner.swapping_since)
+        owner.swapping_since = now;
     this->next_move = now + this->opts.balance_interval;
     std::swap(next.primary, next.backup);
+    return this->close_for(owner, next);
+}
+
+// A view with another primary is written when no attempt waits and the new primary holds
+// all changes, so that the move interrupts no request.
+std::optional<view> executor::engine::close_for(shard& owner, const view& next)
+{
+    owner.closing = true;
+    const auto index = static_cast<std::size_t>(&owner - this->shards.data());
+    const replica* heir = owner.backup && owner.backup->who.is(next.primary)
+                              ? owner.backup.get()
+                              : owner.joiner.get();
+    if (this->has_pending(index) || !heir->unacknowledged.empty())
+        return std::nullopt;
     return next;
 }
 
@@ -512,6 +539,7 @@
     const bool nothing_written = done.has_value() ||
                                  done.error().code == errc::unavailable ||
                                  done.error().code == errc::limit_exceeded;
+    owner.closing = false;
     owner.proposed.call = 0;
     owner.proposed.uncertain = owner.proposed.uncertain || !nothing_written;
     const auto jitter = static_cast<std::int64_t>(this->random() % 300);
@@ -628,6 +656,9 @@
     owner.current = next;
     owner.proposed = {};
     owner.down = false;
+    owner.closing = false;
+    owner.swapping_since.reset();
+    owner.owed_ack.reset();
     this->take_records(now, owner);
     this->observe_members(now, owner);
     if (owner.has_state && next.primary.is(this->me))
@@ -638,6 +669,8 @@
         owner.joiner.reset();
     }
     this->settle_attempts(now, index);
+    if (!this->parked.empty())
+        this->retry_parked(now, index);
 }
 
 // Keeps, takes or drops the records, as the view says how this VM got them.
--- a/pistachiospan/once/once.hpp
+++ b/pistachiospan/once/once.hpp
@@ -31,6 +31,8 @@
 
 inline constexpr std::size_t shard_count = 64;
 inline constexpr std::size_t max_key_size = 256; // bytes of an idempotency key
+// A VM with an old view relays to the old primary, which relays to the new one.
+inline constexpr std::uint32_t max_relays = 2;
 // Bytes of records in one message of a state transfer.
 inline constexpr std::size_t max_part_size = std::size_t{128} * 1024;
 
@@ -85,8 +87,8 @@
     std::string_view key;
     std::uint64_t fingerprint = 0; // fingerprint() of the request
     time_point deadline;
-    bool relayed = false; // received from a peer: is not relayed again
-    wall_time wall;       // present wall-clock time, for the age of issued keys
+    std::uint32_t relays = 0; // how often it was relayed already; at most max_relays
+    wall_time wall;           // present wall-clock time, for the age of issued keys
 };
 
 // Hash of what must be equal when a key is used again.
@@ -126,7 +128,7 @@
 enum class verdict
 {
     execute, // forward now, then call finish() exactly once with `attempt`
-    relay,   // send the request to `relay_to`
+    relay,   // send the request to `relay_to`, with `relays` increased by one
     replay,  // answer with `recorded`
     refuse,  // answer with `refused`
 };
--- a/pistachiospan/once/once_test.cpp
+++ b/pistachiospan/once/once_test.cpp
@@ -83,7 +83,8 @@
                               });
     }
 
-    void on_decision(operation& of, std::size_t at, bool relayed, const decision& made)
+    void on_decision(operation& of, std::size_t at, std::uint32_t relays,
+                     const decision& made)
     {
         if (made.what == verdict::execute)
         {
@@ -103,13 +104,14 @@
             this->violation(of, "ran: no is untrue, " + made.refused.code);
         if (made.what == verdict::refuse)
             this->repeat_later(of);
-        if (made.what == verdict::relay && !relayed)
+        if (made.what == verdict::relay)
         {
             const auto to =
                 static_cast<std::size_t>(std::stoul(made.relay_to.value.substr(3)));
             if (!this->vms.blocked[at][to])
                 this->vms.on_node(to, 3ms,
-                                  [this, &of, to] { this->begin(of, to, true); });
+                                  [this, &of, to, relays]
+                                  { this->begin(of, to, relays + 1); });
             this->repeat_later(of);
         }
         static const char* const names[] = {"execute", "relay", "replay", "refuse"};
@@ -119,7 +121,7 @@
         ++this->answers[name];
     }
 
-    void begin(operation& of, std::size_t at, bool relayed)
+    void begin(operation& of, std::size_t at, std::uint32_t relays)
     {
         const auto called = std::make_shared<int>(0);
         const time_point now = this->vms.local(at);
@@ -129,13 +131,13 @@
              .key = of.key,
              .fingerprint = of.print,
              .deadline = now + 3s,
-             .relayed = relayed,
+             .relays = relays,
              .wall = this->vms.wall(at)},
-            [this, &of, at, relayed, called](const decision& made)
+            [this, &of, at, relays, called](const decision& made)
             {
                 if (++*called > 1)
                     this->violation(of, "answered twice");
-                this->on_decision(of, at, relayed, made);
+                this->on_decision(of, at, relays, made);
             });
     }
 
@@ -145,7 +147,7 @@
         const auto at = static_cast<std::size_t>(
             this->vms.below(static_cast<std::int64_t>(this->vms.nodes.size())));
         ++of.begun;
-        this->vms.on_node(at, 1ms, [this, &of, at] { this->begin(of, at, false); });
+        this->vms.on_node(at, 1ms, [this, &of, at] { this->begin(of, at, 0); });
         if (!this->vms.nodes[at].alive)
             this->repeat_later(of);
     }
