Test the request path; count relays to primaries; equal first look-up weights

Cause: a VM that had heard no peer yet answered look-ups with itself alone and kept 46% of the weight for minutes, since weights move by 10% in a TTL; the request path had no tests of its own; a request relayed to a shard's primary could not be relayed to the owner of the upstreams. Change: look-ups wait 3 s after the start; relays to primaries are counted apart; one key hash serves all checks of a request; node tests for keys, revocation while waiting, not-run, repeats, burst, outage, cancellation, drain, malformed messages.

--- a/pistachiospan/daemon/daemon.cpp
+++ b/pistachiospan/daemon/daemon.cpp
@@ -105,6 +105,7 @@
                 static_cast<incarnation>(wall_now().time_since_epoch().count()),
             .seeds = seed_entries(from),
             .secret = from.peer_secret,
+            .store_region = from.platform_region,
             .seed = from.seed.value_or(std::random_device()())};
 }
 
--- a/pistachiospan/entry/internal/exchange.hpp
+++ b/pistachiospan/entry/internal/exchange.hpp
@@ -21,7 +21,9 @@
     bool open_route = false;
     bool idempotent = true;
     bool relayed_in = false;
-    bool through_once = false; // a non-idempotent request with a key
+    bool relayed_to_owner = false; // relayed to this VM for its data centre's upstreams
+    std::uint32_t primary_relays = 0; // how often it was relayed to a shard's primary
+    bool through_once = false;        // a non-idempotent request with a key
     once::attempt_id attempt = 0;
     wall_time arrived_wall;
     time_point arrived;
@@ -36,7 +38,7 @@
     std::string upstream;
     std::vector<std::string> excluded;
     std::uint32_t attempts = 0;
-    time_point retry_at;           // end of the backoff
+    time_point retry_at;       // end of the backoff
     bool may_have_run = false; // an earlier attempt may have run
 };
 
--- a/pistachiospan/entry/messages.cpp
+++ b/pistachiospan/entry/messages.cpp
@@ -63,7 +63,7 @@
     out = nlohmann::json::array({static_cast<int>(value.reason), value.method,
                                  value.target, value.request_id, value.route,
                                  value.account, value.key_hash, value.idempotency_key,
-                                 value.deadline_us, value.headers});
+                                 value.deadline_us, value.headers, value.primary_relays});
 }
 
 void from_json(const nlohmann::json& in, relay_request& value)
@@ -79,6 +79,7 @@
     in.at(7).get_to(value.idempotency_key);
     in.at(8).get_to(value.deadline_us);
     in.at(9).get_to(value.headers);
+    in.at(10).get_to(value.primary_relays);
 }
 
 void to_json(nlohmann::json& out, const relay_answer& value)
--- a/pistachiospan/entry/messages.hpp
+++ b/pistachiospan/entry/messages.hpp
@@ -99,7 +99,8 @@
     std::string account;  // empty: open route
     std::string key_hash; // of the caller's key; the receiver checks it again
     std::string idempotency_key;
-    std::uint64_t deadline_us = 0; // time left when it was sent
+    std::uint32_t primary_relays = 0; // with this one, to primaries of shards
+    std::uint64_t deadline_us = 0;    // time left when it was sent
     header_list headers;
     std::string body;
 };
--- a/pistachiospan/entry/node.cpp
+++ b/pistachiospan/entry/node.cpp
@@ -22,6 +22,10 @@
 // Bounds on the graceful shutdown, after which the process exits anyway.
 constexpr duration drain_limit = std::chrono::seconds(30);
 
+// Time in which a starting VM hears its peers before it answers look-ups. An answer that
+// names only the VM itself would draw all callers to it.
+constexpr duration membership_warm_up = std::chrono::seconds(3);
+
 // Slots of a lost VM may still be in use until the longest deadline of a request.
 constexpr duration slot_hold = std::chrono::seconds(11);
 
@@ -92,7 +96,7 @@
     bool limits_settled = false;
     std::uint32_t slot_share_count = 0;
     std::optional<time_point> drain_began;
-    std::map<vm_id, time_point> load_heard;
+    std::optional<time_point> weights_from;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
@@ -391,6 +395,11 @@
 
 void node::implementation::update_weights(time_point now)
 {
+    // The first weights are equal for all VMs known by then; later ones move in steps.
+    if (!this->weights_from)
+        this->weights_from = now + membership_warm_up;
+    if (now < *this->weights_from)
+        return;
     std::vector<::pistachiospan::lookup::vm_state> states;
     states.push_back({.vm = this->options.self.id,
                       .address = this->options.self.caller_address,
@@ -451,8 +460,8 @@
 void node::implementation::receive_share(time_point now, const vm_id& from,
                                          std::string_view type, const wire::body& content)
 {
-    const bool for_rates =
-        content.is_object() && content.value("scope", std::string()) == rate_scope;
+    const bool for_rates = content.is_object() && content.contains("scope") &&
+                           content["scope"] == std::string(rate_scope);
     share::share_claimer& claimer = for_rates ? this->rate_shares : this->slot_shares;
     const result<void> taken = claimer.receive(now, from, type, content);
     if (!taken && this->hooks.report)
@@ -490,8 +499,8 @@
 result<nlohmann::json> node::implementation::lookup(wall_time wall,
                                                     std::string_view route)
 {
-    if (!this->active)
-        return failure(errc::unavailable, "no catalogue yet; ask another VM");
+    if (!this->ready())
+        return failure(errc::unavailable, "this VM is starting; ask another VM");
     if (!route.empty() && !this->active->routes.contains(std::string(route)))
         return failure(errc::not_found, "unknown route; check its name in the catalogue");
     const ::pistachiospan::lookup::vm_answer answer = this->weights.answer();
@@ -531,7 +540,8 @@
 
 bool node::implementation::ready() const
 {
-    return this->active != nullptr;
+    return this->active != nullptr && this->weights_from &&
+           this->present >= *this->weights_from;
 }
 
 node_status node::implementation::status(time_point now) const
--- /dev/null
+++ b/pistachiospan/entry/node_test.cpp
@@ -0,0 +1,359 @@
+#include "pistachiospan/entry/node.hpp"
+#include "pistachiospan/store/fake_store.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace pistachiospan;
+using namespace pistachiospan::entry;
+
+namespace
+{
+
+const std::string salt = "00112233445566778899aabbccddeeff";
+const std::string key = "north-key";
+
+std::string catalogue_text(const std::string& keys)
+{
+    return "[catalogue]\nname = test\nowner = ops\nkey_salt = " + salt +
+           "\nrate_shares = 1\nconfirm_within = 5 s\n"
+           "[region r]\n[data_centre d]\nregion = r\nentry_vms = 1\n"
+           "[client_account north]\nowner = ops\nclass = shop\nrate = 50/s\nburst = "
+           "20\n" +
+           keys +
+           "[route open]\nowner = ops\nclass = browse\npath_prefix = /open\ngroup = g\n"
+           "access = open\ndeadline = 2 s\nmax_body = 1 KiB\n"
+           "[route orders]\nowner = ops\nclass = order\npath_prefix = /orders\ngroup = "
+           "g\n"
+           "access = keyed\nidempotent_methods = GET\nunconfirmed = refuse\n"
+           "deadline = 2 s\nmax_body = 1 KiB\n"
+           "[upstream_group g]\nowner = ops\nclass = app\nslots = 1\nconnections = 10\n"
+           "warm_up = 0 s\nserver = 127.0.0.1:9001 @ d\nserver = 127.0.0.1:9002 @ d\n";
+}
+
+std::string key_line(const std::string& text)
+{
+    return "key_hash = " + catalogue::hash_key(salt, text) + "\n";
+}
+
+// One VM, its platform, and upstreams whose answers the test gives.
+struct fixture
+{
+    struct pending_call
+    {
+        upstream_request request;
+        upstream_handler done;
+    };
+
+    time_point now{std::chrono::seconds(100)};
+    wall_time wall{std::chrono::seconds(1'000'000)};
+    store::testing::fake_platform platform{{.seed = 1, .start = now}};
+    store::testing::fake_store rows{platform};
+    std::map<upstream_call, pending_call> calls;
+    std::vector<upstream_call> cancelled;
+    upstream_call last_call = 0;
+    node vm{make_options(), {rows, rows, rows}, make_hooks()};
+
+    fixture()
+    {
+        platform.vms.add(now, make_options().self);
+        write_version(1, catalogue_text(key_line(key)), 0);
+        run(std::chrono::seconds(40));
+        BOOST_REQUIRE(vm.status(now).ready);
+        BOOST_REQUIRE(vm.status(now).slot_shares == 1U);
+    }
+
+    static node_options make_options()
+    {
+        return {.self = {.id = {"vm-1"},
+                         .address = "127.0.0.1:7001",
+                         .caller_address = "127.0.0.1:8001",
+                         .data_centre = "d",
+                         .region = "r"},
+                .self_incarnation = 1,
+                .secret = "s3cret",
+                .seed = 1};
+    }
+
+    node_hooks make_hooks()
+    {
+        node_hooks hooks;
+        hooks.send = [](const vm_id&, const std::string&, std::string_view,
+                        const wire::body&) {
+        };
+        hooks.relay = [](const vm_id&, const std::string&, const relay_request&, duration,
+                         const relay_handler&) {
+        };
+        hooks.call_upstream = [this](upstream_request request, upstream_handler done)
+        {
+            calls[++last_call] = {std::move(request), std::move(done)};
+            return last_call;
+        };
+        hooks.cancel_upstream = [this](upstream_call call)
+        {
+            cancelled.push_back(call);
+            calls.erase(call);
+        };
+        return hooks;
+    }
+
+    void write_version(catalogue_version version, const std::string& text,
+                       store::revision head_revision)
+    {
+        const std::string name = config::object_name(version);
+        platform.data.put_object(name, text);
+        const nlohmann::json head = config::head{.version = version,
+                                                 .digest = catalogue::digest(text),
+                                                 .edit_id = std::to_string(version),
+                                                 .object = name};
+        const nlohmann::json log = config::log_entry{.edit_id = std::to_string(version),
+                                                     .who = "test",
+                                                     .when = "now",
+                                                     .from = version - 1};
+        const auto written = platform.data.transact(
+            {{.key = std::string(config::head_key),
+              .expected = head_revision,
+              .value = head.dump()},
+             {.key = config::log_key(version), .expected = 0, .value = log.dump()}});
+        BOOST_REQUIRE(written.value().committed);
+    }
+
+    void run(duration span)
+    {
+        const time_point end = now + span;
+        for (; now < end; now += tick_interval)
+        {
+            platform.advance(now);
+            vm.tick(now, wall + now.time_since_epoch());
+        }
+    }
+
+    std::shared_ptr<std::optional<answer>> send(caller_request request)
+    {
+        auto got = std::make_shared<std::optional<answer>>();
+        vm.submit(now, wall, std::move(request), [got](answer made) { *got = made; });
+        run(std::chrono::milliseconds(20));
+        return got;
+    }
+
+    std::shared_ptr<std::optional<answer>> order(const std::string& idempotency_key = "")
+    {
+        return send({.method = "POST",
+                     .target = "/orders/1",
+                     .key = key,
+                     .idempotency_key = idempotency_key,
+                     .body = "one"});
+    }
+
+    // Ends the oldest call to an upstream.
+    void end_call(result<upstream_answer> outcome)
+    {
+        BOOST_REQUIRE(!calls.empty());
+        const upstream_handler done = calls.begin()->second.done;
+        calls.erase(calls.begin());
+        done(now, std::move(outcome));
+        run(std::chrono::milliseconds(50));
+    }
+};
+
+const upstream_answer ok{.status = 200, .body = "done"};
+
+} // namespace
+
+// Guards against passing a caller's key to an upstream, and against false accounts.
+BOOST_FIXTURE_TEST_CASE(an_upstream_sees_the_account_and_never_the_key, fixture)
+{
+    const auto got = order();
+    BOOST_REQUIRE(calls.size() == 1U);
+    const header_list& sent = calls.begin()->second.request.headers;
+    const auto has = [&](const std::string& name, const std::string& value)
+    {
+        return std::find(sent.begin(), sent.end(), std::pair(name, value)) != sent.end();
+    };
+    BOOST_TEST(has("X-Client-Account", "north"));
+    BOOST_TEST(std::none_of(sent.begin(), sent.end(),
+                            [](const auto& field) { return field.second == key; }));
+    end_call(ok);
+    BOOST_TEST((*got)->status == 200);
+    BOOST_TEST((*got)->body == "done");
+}
+
+// Guards against serving a keyed route without a valid key.
+BOOST_FIXTURE_TEST_CASE(keyed_routes_need_a_valid_key_and_open_routes_none, fixture)
+{
+    const auto missing = send({.method = "GET", .target = "/orders/1"});
+    BOOST_TEST(((*missing)->refused.code == refusal_code::missing_key));
+    const auto wrong = send({.method = "GET", .target = "/orders/1", .key = "x"});
+    BOOST_TEST(((*wrong)->refused.code == refusal_code::unknown_key));
+    BOOST_TEST(((*wrong)->refused.run == ran::no));
+    BOOST_TEST(calls.empty());
+    send({.method = "GET", .target = "/open/1"});
+    BOOST_TEST(calls.size() == 1U);
+    const auto none = send({.method = "GET", .target = "/other"});
+    BOOST_TEST(((*none)->refused.code == refusal_code::no_route));
+    const auto large =
+        send({.method = "GET", .target = "/open/1", .body = std::string(2000, 'x')});
+    BOOST_TEST(((*large)->refused.code == refusal_code::body_too_large));
+}
+
+// Guards against a key that is checked on arrival only: the request waits for a slot
+// while the key is revoked.
+BOOST_FIXTURE_TEST_CASE(a_key_revoked_while_the_request_waits_stops_it, fixture)
+{
+    order();
+    order();
+    const auto waiting = order();
+    BOOST_REQUIRE(calls.size() == 2U); // both slots are busy
+    BOOST_TEST(!waiting->has_value());
+    const auto head = platform.data.get(std::string(config::head_key));
+    write_version(2, catalogue_text(key_line("another-key")), head->rev);
+    for (int step = 0; step < 19 && vm.status(now).active_version < 2; ++step)
+        run(std::chrono::milliseconds(100));
+    BOOST_REQUIRE(vm.status(now).active_version == 2U);
+    end_call(ok);
+    BOOST_REQUIRE(waiting->has_value());
+    BOOST_TEST(((*waiting)->refused.code == refusal_code::unknown_key));
+    BOOST_TEST(((*waiting)->refused.run == ran::no));
+    BOOST_TEST(calls.size() == 1U);
+}
+
+// Guards against a second run of an order, and against a false "not run".
+BOOST_FIXTURE_TEST_CASE(an_order_that_may_have_run_is_not_retried, fixture)
+{
+    const auto got = order();
+    end_call(failure(errc::unknown_outcome, "connection lost"));
+    BOOST_TEST(calls.empty());
+    BOOST_REQUIRE(got->has_value());
+    BOOST_TEST(((*got)->refused.run == ran::unknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(what_surely_did_not_run_is_tried_on_another_upstream, fixture)
+{
+    const auto got = order();
+    const std::string first = calls.begin()->second.request.address;
+    end_call(upstream_answer{.status = 503, .headers = {{"X-Not-Run", "1"}}});
+    run(std::chrono::seconds(1));
+    BOOST_REQUIRE(calls.size() == 1U);
+    BOOST_TEST(calls.begin()->second.request.address != first);
+    end_call(ok);
+    BOOST_TEST((*got)->status == 200);
+
+    const auto read = send({.method = "GET", .target = "/open/1"});
+    end_call(failure(errc::unknown_outcome, "connection lost"));
+    run(std::chrono::seconds(1));
+    end_call(ok);
+    BOOST_TEST((*read)->status == 200);
+}
+
+// Guards against a doubled order when the caller repeats it after a lost answer.
+BOOST_FIXTURE_TEST_CASE(a_repeat_with_the_same_key_gets_the_recorded_answer, fixture)
+{
+    const auto first = order("k1");
+    const auto repeat = order("k1");
+    BOOST_REQUIRE(calls.size() == 1U);
+    end_call(ok);
+    BOOST_TEST((*first)->body == "done");
+    BOOST_REQUIRE(repeat->has_value());
+    BOOST_TEST((*repeat)->body == "done");
+    const auto later = order("k1");
+    BOOST_TEST(calls.empty());
+    BOOST_TEST((*later)->status == 200);
+
+    const auto lost = order("k2");
+    end_call(failure(errc::timeout, "no answer"));
+    BOOST_TEST(((*lost)->refused.run == ran::unknown));
+    const auto again = order("k2");
+    BOOST_TEST(calls.empty());
+    BOOST_TEST(((*again)->refused.run == ran::unknown));
+}
+
+// Guards against admitting more than rate and burst.
+BOOST_FIXTURE_TEST_CASE(an_account_over_its_burst_is_refused_at_once, fixture)
+{
+    std::vector<std::shared_ptr<std::optional<answer>>> answers;
+    for (int i = 0; i < 60; ++i)
+    {
+        auto got = std::make_shared<std::optional<answer>>();
+        vm.submit(now, wall, {.method = "GET", .target = "/orders/1", .key = key},
+                  [got](answer made) { *got = made; });
+        answers.push_back(got);
+    }
+    run(std::chrono::milliseconds(200));
+    const auto limited =
+        std::count_if(answers.begin(), answers.end(),
+                      [](const auto& got)
+                      {
+                          return got->has_value() &&
+                                 (*got)->refused.code == refusal_code::rate_limited &&
+                                 (*got)->refused.retry_after.count() > 0;
+                      });
+    BOOST_TEST(limited >= 60 - 20 - 15); // burst 20, and 200 ms at 50/s with the wait
+    BOOST_TEST(limited <= 40);
+}
+
+// Guards against serving revoked keys from a stale catalogue, and against an outage of
+// the platform that stops open routes.
+BOOST_FIXTURE_TEST_CASE(without_the_store_refuse_routes_stop_and_open_ones_go_on, fixture)
+{
+    platform.service.refuse = true;
+    run(std::chrono::seconds(7));
+    const auto stale = send({.method = "GET", .target = "/orders/1", .key = key});
+    BOOST_REQUIRE(stale->has_value());
+    BOOST_TEST(((*stale)->refused.code == refusal_code::stale_configuration));
+    BOOST_TEST(((*stale)->refused.run == ran::no));
+    send({.method = "GET", .target = "/open/1"});
+    BOOST_TEST(calls.size() == 1U);
+    platform.service.refuse = false;
+    run(std::chrono::seconds(5));
+    send({.method = "GET", .target = "/orders/1", .key = key});
+    BOOST_TEST(calls.size() == 2U);
+}
+
+// Guards against upstreams that go on with work nobody waits for.
+BOOST_FIXTURE_TEST_CASE(a_caller_that_leaves_cancels_reads_and_not_orders, fixture)
+{
+    const exchange_id read = vm.submit(now, wall, {.method = "GET", .target = "/open/1"},
+                                       [](const answer&) {});
+    vm.cancel(now, read);
+    BOOST_TEST(cancelled.size() == 1U);
+    const exchange_id written =
+        vm.submit(now, wall, {.method = "POST", .target = "/orders/1", .key = key},
+                  [](const answer&) {});
+    vm.cancel(now, written);
+    BOOST_TEST(cancelled.size() == 1U);
+    BOOST_TEST(calls.size() == 1U);
+}
+
+// Guards against a planned stop that cuts off requests.
+BOOST_FIXTURE_TEST_CASE(a_draining_vm_finishes_what_it_holds, fixture)
+{
+    const auto held = order();
+    vm.begin_drain(now);
+    run(std::chrono::milliseconds(1500));
+    BOOST_TEST(!vm.drained(now));
+    end_call(ok);
+    BOOST_TEST((*held)->status == 200);
+    for (int step = 0; step < 30 && !vm.drained(now); ++step)
+        run(std::chrono::seconds(1));
+    BOOST_TEST(vm.drained(now));
+    BOOST_TEST(platform.data.scan("share/").empty());
+}
+
+// Guards against state changes by input that cannot be decoded.
+BOOST_FIXTURE_TEST_CASE(malformed_messages_of_peers_change_nothing, fixture)
+{
+    const auto before = vm.status(now);
+    for (const std::string type :
+         {"heartbeat", "config_offer", "config_request", "borrow", "grant", "return_loan",
+          "intent", "intent_ack", "outcome", "shard_state", "share_query", "unknown"})
+        for (const nlohmann::json& content :
+             {nlohmann::json(), nlohmann::json(7), nlohmann::json("x"),
+              nlohmann::json::array({1, 2}), nlohmann::json{{"scope", 1}}})
+            vm.receive(now, {"vm-2"}, 1, type, content);
+    run(std::chrono::seconds(1));
+    const auto after = vm.status(now);
+    BOOST_TEST(before.active_version == after.active_version);
+    BOOST_TEST(before.rate_shares == after.rate_shares);
+    BOOST_TEST(before.primary_shards == after.primary_shards);
+}
--- a/pistachiospan/entry/pipeline.cpp
+++ b/pistachiospan/entry/pipeline.cpp
@@ -220,8 +220,10 @@
 {
     // A valid key on an open route counts for its account; any other request is
     // anonymous.
+    if (!key.empty())
+        item.key_hash = catalogue::hash_key(this->active->key_salt, key);
     const catalogue::client_account* owner =
-        key.empty() ? nullptr : this->active->find_account(key);
+        key.empty() ? nullptr : this->active->find_account_by_hash(item.key_hash);
     if (item.open_route && owner == nullptr)
         return true;
     if (key.empty())
@@ -237,7 +239,6 @@
         return false;
     }
     item.account = owner->name;
-    item.key_hash = catalogue::hash_key(this->active->key_salt, key);
     return this->recheck_key(now, item);
 }
 
@@ -246,11 +247,9 @@
 {
     if (item.account.empty())
         return true;
-    const auto account = this->active->accounts.find(item.account);
-    const bool valid =
-        account != this->active->accounts.end() &&
-        std::find(account->second.key_hashes.begin(), account->second.key_hashes.end(),
-                  item.key_hash) != account->second.key_hashes.end();
+    const catalogue::client_account* owner =
+        this->active->find_account_by_hash(item.key_hash);
+    const bool valid = owner != nullptr && owner->name == item.account;
     const ran run = item.may_have_run ? ran::unknown : ran::no;
     if (!valid)
     {
@@ -327,7 +326,7 @@
                                                                item.request.target,
                                                                item.request.body),
                               .deadline = item.deadline,
-                              .relayed = item.relayed_in,
+                              .relays = item.primary_relays,
                               .wall = item.arrived_wall};
     const exchange_id id = item.id;
     this->present = now;
@@ -400,7 +399,7 @@
                                         .idempotent = item.idempotent,
                                         .body_size = item.request.body.size(),
                                         .excluded = item.excluded,
-                                        .relayed = item.relayed_in});
+                                        .relayed = item.relayed_to_owner});
     exchange* still = this->find(id);
     if (still != nullptr && made.kind != route::decision_kind::queued)
         this->apply_route(now, *still, made);
@@ -558,6 +557,8 @@
                        .account = item.account,
                        .key_hash = item.key_hash,
                        .idempotency_key = item.request.idempotency_key,
+                       .primary_relays = item.primary_relays +
+                                         (reason == relay_reason::primary ? 1U : 0U),
                        .deadline_us =
                            static_cast<std::uint64_t>((item.deadline - now).count()),
                        .headers = item.request.headers,
@@ -635,6 +636,8 @@
                     .headers = std::move(incoming.headers),
                     .body = std::move(incoming.body)};
     const relay_reason reason = incoming.reason;
+    made.primary_relays = incoming.primary_relays;
+    made.relayed_to_owner = reason == relay_reason::upstream;
     exchange* item = this->add(now, made);
     const exchange_id id = this->next_id - 1;
     if (item == nullptr || !this->route_request(*item) || !this->recheck_key(now, *item))
