--- a/pistachiospan/once/internal/views.cpp
+++ b/pistachiospan/once/internal/views.cpp
@@ -477,7 +477,10 @@
     const bool absent = owner.current.number == 0;
     const duration delay = (absent ? duration(0) : this->opts.lost_delay) +
                            claim_step * static_cast<int>(this->claim_rank(index));
-    if (now - owner.down_since < delay || *this->scanned_at < owner.down_since)
+    // The first VM in rank needs another scan after the membership is known.
+    const time_point known = *this->peers_since + settled_time;
+    if (now - std::max(owner.down_since, known) < delay ||
+        *this->scanned_at < owner.down_since)
     {
         this->rescan(now);
         return std::nullopt;
