route: place what can be placed before estimating the wait

A request was refused by the estimated wait although it could be sent at once, when the queue held only requests that could not be placed: uploads waiting for the budget of a link. submit() now serves the queue, then places the new request if it can; what still waits cannot be placed, so nobody's turn is taken. The account is charged as if it had waited.

--- a/pistachiospan/route/internal/fair_queue.cpp
+++ b/pistachiospan/route/internal/fair_queue.cpp
@@ -124,9 +124,13 @@
 void fair_queue::charge(const std::string& account, std::uint32_t weight)
 {
     flow& to = this->flow_of(account, weight);
-    to.start = std::max(this->virtual_time, to.finish);
-    this->virtual_time = to.start;
+    const bool waits = to.size() > 0;
+    this->deactivate(to);
+    to.start = waits ? to.start : std::max(this->virtual_time, to.finish);
+    this->virtual_time = std::max(this->virtual_time, to.start);
     to.finish = to.start + 1 / to.weight;
+    to.start = to.finish;
+    this->activate(to);
 }
 
 double fair_queue::ahead(const std::string& account, std::uint32_t weight) const
--- a/pistachiospan/route/internal/router_queue.cpp
+++ b/pistachiospan/route/internal/router_queue.cpp
@@ -104,19 +104,10 @@
     {
         return this->refuse(refusal::queue_full, this->wait_of(now, group, 0));
     }
-    const request_id id = incoming.id;
-    this->waiting[id] = &group;
+    this->waiting[incoming.id] = &group;
     this->waiting_bytes += incoming.body_size;
     const bool large = this->is_large(incoming);
     group.queue.push(std::move(incoming), weight, large);
-    this->pump(now, group);
-    // The request itself may have been the one that could be placed.
-    if (!this->decided.empty() && this->decided.back().first == id)
-    {
-        decision placed = this->decided.back().second;
-        this->decided.pop_back();
-        return placed;
-    }
     this->totals.queued += 1;
     return {.kind = decision_kind::queued};
 }
--- a/pistachiospan/route/queue_test.cpp
+++ b/pistachiospan/route/queue_test.cpp
@@ -329,3 +329,28 @@
     }
     BOOST_TEST(sent > rate * 19);
 }
+
+// Guards against refusing a request by the estimated wait although it can be sent at
+// once: uploads that wait for the link's budget hold nobody else up, in any account.
+BOOST_AUTO_TEST_CASE(waiting_uploads_do_not_hold_up_small_requests)
+{
+    router steering = make_router(make_regions(1), "d1");
+    steering.observe_peer(time_point(), report("west", "d3", "far", 1000));
+    const auto submit = [&](request_id id, const std::string& account, std::uint64_t size,
+                            duration deadline)
+    {
+        request asked = make_request(id, time_point(deadline), "far");
+        asked.account = account;
+        asked.body_size = size;
+        return steering.submit(time_point(), asked).kind;
+    };
+    BOOST_TEST((submit(1, "a", 70000, 5s) == decision_kind::relayed));
+    steering.complete(time_point(), 1, outcome::ok, 20ms);
+    for (request_id id = 2; id < 8; ++id)
+    {
+        BOOST_TEST((submit(id, "a", 70000, 5s) == decision_kind::queued));
+    }
+    BOOST_TEST((submit(8, "a", 100, 500ms) == decision_kind::relayed));
+    steering.tick(time_point(100ms));
+    BOOST_TEST((submit(9, "b", 100, 600ms) == decision_kind::relayed));
+}
--- a/pistachiospan/route/router.cpp
+++ b/pistachiospan/route/router.cpp
@@ -55,13 +55,17 @@
     {
         return this->refuse(refusal::deadline_too_near, duration(0));
     }
+    this->pump(now, group);
+    // What waits now cannot be placed, so a request that can be takes nobody's turn.
     decision made;
-    if (group.queue.size() == 0 && this->place(now, group, incoming, made))
+    if (this->place(now, group, incoming, made))
     {
         group.queue.charge(incoming.account, this->weight_of(incoming.account));
-        return made;
     }
-    made = this->enqueue(now, group, std::move(incoming));
+    else
+    {
+        made = this->enqueue(now, group, std::move(incoming));
+    }
     this->deliver();
     return made;
 }
