Announce a new version at once and bound the store reads in a test

Cause: with the store down for all, an edit that the operator command posts to one VM of 720 took 9.60 s to be in force everywhere, close to the bound of 12 s: the version climbs the tree by one level per second and crosses the ring of data centres by one step per two seconds.

Change: a VM that takes a new version asks its parent, and a relay its ring neighbour, at once; the heartbeat carries the version. Relays no longer ask random VMs of their data centre. An option lets every daemon poll, for the baseline. The random schedules include lost answers and a store that takes 1.5 s; a test bounds the reads per data centre, also in an outage.

--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -116,8 +116,9 @@
 };
 
 // Runs until `span` has passed, with an edit each edit_interval.
+// With `offered`, the operator command posts each edit to one VM.
 void run_edits(simulated_fleet& fleet, const arguments& given, duration span,
-               outcome& out)
+               bool offered, outcome& out)
 {
     const time_point end = fleet.now() + span;
     for (std::uint64_t number = 1; fleet.now() < end; ++number)
@@ -125,6 +126,12 @@
         const time_point edited = fleet.now();
         const catalogue_version version =
             fleet.edit(catalogue_text(given.text_kb, number));
+        if (offered)
+            fleet.vm(number * 100 % fleet.size())
+                .config
+                ->offer(fleet.now(), version, simulated_fleet::digest(fleet.text()),
+                        fleet.text())
+                .value();
         std::vector<bool> done(fleet.size());
         std::size_t missing = fleet.size();
         while (fleet.now() < edited + edit_interval)
@@ -171,15 +178,16 @@
     if (mode == "region-outage")
         fleet.store_outage([](const simulated_vm& vm)
                            { return vm.entry.region == "region-1"; });
-    if (mode == "store-outage")
+    if (mode == "store-outage" || mode == "operator")
         fleet.store_outage([](const simulated_vm&) { return true; });
     const std::uint64_t reads_before = fleet.store_reads();
     const time_point began = fleet.now();
     const std::clock_t cpu_before = std::clock();
     outcome out;
     std::size_t refusals = 0;
-    if (mode == "edits" || mode == "baseline" || mode == "region-outage")
-        run_edits(fleet, given, seconds(given.seconds), out);
+    if (mode == "edits" || mode == "baseline" || mode == "region-outage" ||
+        mode == "operator")
+        run_edits(fleet, given, seconds(given.seconds), mode == "operator", out);
     else if (mode == "restarts")
         for (int second = 0; second < given.seconds; ++second)
         {
@@ -231,7 +239,8 @@
     const std::array<poptOption, 7> table = {{
         {"vms", 'n', POPT_ARG_INT, &given.vms, 0, "size of the fleet; default: all", "N"},
         {"mode", 'm', POPT_ARG_STRING, &given.mode, 0,
-         "idle, edits, baseline, region-outage, store-outage or restarts", "MODE"},
+         "idle, edits, baseline, region-outage, store-outage, operator or restarts",
+         "MODE"},
         {"seconds", 's', POPT_ARG_INT, &given.seconds, 0, "simulated time", "N"},
         {"text-kb", 't', POPT_ARG_INT, &given.text_kb, 0, "size of the catalogue", "N"},
         {"seed", 0, POPT_ARG_INT, &given.seed, 0, "seed", "N"},
--- a/pistachiospan/config/config.cpp
+++ b/pistachiospan/config/config.cpp
@@ -101,7 +101,8 @@
 // One VM of each data centre polls each second.
 bool replica::polls_regularly() const
 {
-    return this->view.rank() == 0 || this->held.version == 0;
+    return this->view.rank() == 0 || this->held.version == 0 ||
+           this->settings.always_polls;
 }
 
 // A VM that took over from a poller without store access. It stops as soon as a peer has
@@ -614,7 +615,7 @@
 void replica::activate_due(time_point now)
 {
     const bool majority =
-        this->held.version != 0 &&
+        !this->pending.empty() &&
         this->view.holders(this->held.version) * 2 > this->view.fleet().known;
     while (!this->pending.empty())
     {
--- a/pistachiospan/config/config.hpp
+++ b/pistachiospan/config/config.hpp
@@ -115,6 +115,8 @@
     std::string store_region;
     std::uint64_t seed = 0;
     duration poll_interval = std::chrono::seconds(1);
+    // True: this VM polls at each interval, whatever its peers say (baseline).
+    bool always_polls = false;
     // Polls without a confirmation start after this time plus up to poll_jitter.
     duration poll_after = std::chrono::seconds(3);
     duration poll_jitter = std::chrono::seconds(1);
--- a/pistachiospan/config/config_test.cpp
+++ b/pistachiospan/config/config_test.cpp
@@ -299,6 +299,27 @@
     BOOST_TEST(fleet.in_force_everywhere());
 }
 
+// Guards against reads that grow with the number of VMs, in service and in an outage.
+BOOST_AUTO_TEST_CASE(store_reads_are_bounded_per_data_centre)
+{
+    simulated_fleet fleet(twenty_vms(13));
+    const auto reads = [&fleet]
+    {
+        std::uint64_t sum = 0;
+        for (std::size_t index = 0; index < fleet.size(); ++index)
+            sum += fleet.vm(index).config->statistics().head_reads;
+        return sum;
+    };
+    fleet.run(seconds(15));
+    const std::uint64_t started = reads();
+    fleet.run(seconds(100));
+    const std::uint64_t idle = reads();
+    BOOST_TEST(idle - started <= 3 * 100 * 1.2);
+    fleet.store_outage([](const simulated_vm&) { return true; });
+    fleet.run(seconds(100));
+    BOOST_TEST(reads() - idle <= 3 * 100 * 2.2);
+}
+
 namespace
 {
 
@@ -315,7 +336,7 @@
     void step()
     {
         const std::size_t victim = this->below(this->fleet.size());
-        switch (this->below(8))
+        switch (this->below(9))
         {
         case 0:
         case 1:
@@ -341,6 +362,12 @@
                 [salt = this->random(), share = this->below(4)](const simulated_vm& vm)
                 { return hash_bytes(vm.entry.data_centre, salt) % 3 < share; });
             break;
+        case 7:
+            // Half of the answers are lost.
+            this->fleet.store_outage(
+                [engine = random_engine(this->random())](const simulated_vm&) mutable
+                { return engine() % 2 == 0; });
+            break;
         default:
             this->fleet.store_outage({});
         }
@@ -403,6 +430,7 @@
             options.loss = 0.05;
             options.duplication = 0.05;
             options.extra_delay = milliseconds(200);
+            options.store_latency = milliseconds(seed % 2 == 0 ? 5 : 1500);
             simulated_fleet fleet(options);
             fleet.run(seconds(15));
             random_schedule schedule(fleet, seed);
--- a/pistachiospan/config/internal/simulated_fleet.cpp
+++ b/pistachiospan/config/internal/simulated_fleet.cpp
@@ -185,9 +185,7 @@
         options{.self = vm.entry.id,
                 .store_region = this->settings.store_region,
                 .seed = this->random(),
-                .poll_after = this->settings.every_daemon_polls
-                                  ? duration{}
-                                  : duration(std::chrono::seconds(3))},
+                .always_polls = this->settings.every_daemon_polls},
         hooks{.parse = [this](catalogue_version number, std::string_view text)
               { return this->parse(number, text); },
               .activate =
--- a/pistachiospan/member/member.cpp
+++ b/pistachiospan/member/member.cpp
@@ -1,7 +1,7 @@
 #include "pistachiospan/member/member.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <utility>
 
 namespace pistachiospan::member
 {
@@ -314,6 +314,8 @@
 void membership::set_catalogue(time_point now, const catalogue_state& state)
 {
     this->catalogue_at = now;
+    this->announces = this->announces ||
+                      (this->catalogue.held != 0 && state.held > this->catalogue.held);
     this->catalogue = state;
     this->all[this->self_index].held = state.held;
 }
@@ -504,6 +506,13 @@
         this->next_evaluation = now + this->settings.interval / 4;
     }
     std::vector<std::size_t> targets;
+    // A new version is announced at once: children ask soon enough by themselves, but it
+    // may have come from a child or, at a relay, from one side of the ring.
+    if (std::exchange(this->announces, false))
+    {
+        this->next_parent = now;
+        this->add_remote_targets(now, targets, true);
+    }
     if (now >= this->next_parent)
     {
         this->next_parent = now + this->settings.interval;
@@ -520,7 +529,7 @@
         if (this->next_tick <= now)
             this->next_tick = now + this->settings.interval;
         this->add_local_targets(now, targets);
-        this->add_remote_targets(now, targets);
+        this->add_remote_targets(now, targets, false);
         this->add_probe_targets(now, targets);
     }
     std::ranges::sort(targets);
@@ -573,7 +582,9 @@
             out.push_back(this->local_order[rank]);
         return;
     }
-    if (this->rotation % rotation_interval == 0)
+    // Relays have other links, and more of them than the other VMs.
+    if (this->own_rank >= relays_per_data_centre &&
+        this->rotation % rotation_interval == 0)
         out.push_back(this->local_order[this->random() % this->local_order.size()]);
 }
 
@@ -593,7 +604,8 @@
     return found;
 }
 
-void membership::add_remote_targets(time_point now, std::vector<std::size_t>& out)
+void membership::add_remote_targets(time_point now, std::vector<std::size_t>& out,
+                                    bool at_once)
 {
     if (this->own_rank >= relays_per_data_centre)
         return;
@@ -612,7 +624,7 @@
     {
         chosen.assign(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(own));
     }
-    else if (this->rotation % ring_interval == 0)
+    else if (at_once || this->rotation % ring_interval == 0)
     {
         const std::size_t step = ring_step(order.size());
         const bool alone = this->local_order.size() == 1;
--- a/pistachiospan/member/member.hpp
+++ b/pistachiospan/member/member.hpp
@@ -250,7 +250,7 @@
     std::uint32_t token_at(time_point now) const;
     std::optional<time_point> token_time(std::uint32_t token, time_point now) const;
     void add_local_targets(time_point now, std::vector<std::size_t>& out);
-    void add_remote_targets(time_point now, std::vector<std::size_t>& out);
+    void add_remote_targets(time_point now, std::vector<std::size_t>& out, bool at_once);
     void add_probe_targets(time_point now, std::vector<std::size_t>& out);
     std::optional<std::size_t> relay_of(std::size_t dc, std::size_t rank,
                                         time_point now) const;
@@ -281,6 +281,7 @@
     std::uint32_t load_counter = 0;
     bool draining = false;
     bool seeks_confirmation = false;
+    bool announces = false; // a new version is held and not announced yet
     bool started = false;
     time_point start;
     time_point next_tick;
