--- a/pistachiospan/once/once_test.cpp
+++ b/pistachiospan/once/once_test.cpp
@@ -305,6 +305,8 @@
 
 // Guards against a second run of a key and an untrue "ran: no" under any mix of kills,
 // pauses, partitions, lost, late and doubled messages and store faults.
+// Of seeds 1 to 100, these fail without: the acknowledgement of the backup 89, the proof
+// of "ran: no" 69, epochs of issued keys 46, the acknowledgement of a joining VM 2.
 BOOST_AUTO_TEST_CASE(no_key_runs_twice_under_random_faults)
 {
     const char* const first_text = std::getenv("ONCE_SEED");
