route: prove that relays keep the owner's slots and cap

The tests of slots and caps covered one data centre. Three data centres, one of them without upstreams, now relay to each other by headroom reports that are up to 1 s old and claim 50 free slots where there are 4 to 6. The owners admit at most their slots and the cap: 10 requests at once.

--- a/pistachiospan/route/router_test.cpp
+++ b/pistachiospan/route/router_test.cpp
@@ -412,3 +412,48 @@
     }
     BOOST_TEST((simulated.now > time_point(20s) && simulated.now < time_point(40s)));
 }
+
+// Guards against relays that push another data centre beyond its slots or its cap, with
+// headroom reports that are late and far too high.
+BOOST_AUTO_TEST_CASE(relays_never_exceed_the_slots_or_the_cap_of_a_data_centre)
+{
+    auto active = make_catalogue(4, 3);
+    active.groups["g"].upstreams[2].data_centre = "e";
+    active.groups["g"].upstreams[3].data_centre = "e";
+    active.data_centres["e"] = {.name = "e", .region = "s", .max_in_flight = 4};
+    active.data_centres["f"] = {.name = "f", .region = "s"};
+    active.links = {{"r", "s", 280}};
+    world simulated(1);
+    for (const auto* data_centre : {"d", "e", "f"})
+    {
+        simulated.add_router(data_centre);
+        simulated.routers.back()->set_catalogue(simulated.now, active);
+        simulated.routers.back()->set_share(simulated.now, {0, 1});
+        simulated.routers.back()->allow_growth(simulated.now);
+    }
+    simulated.load(time_point(20s), 800);
+    for (auto when = time_point(); when < time_point(20s); when += 500ms)
+    {
+        simulated.at(when,
+                     [&simulated]
+                     {
+                         for (auto& each : simulated.routers)
+                         {
+                             for (const auto* peer : {"0d", "1e"})
+                             {
+                                 each->observe_peer(
+                                     simulated.now,
+                                     {.vm = {std::string(peer, 1)},
+                                      .data_centre = peer + 1,
+                                      .groups = {{"g", 50}},
+                                      .age = duration(simulated.random() % 1000000)});
+                             }
+                         }
+                     });
+    }
+    simulated.run_until(time_point(25s));
+    simulated.check_peaks(3);
+    BOOST_TEST(simulated.total_peak <= 6U + 4U);
+    BOOST_TEST(simulated.routers[2]->counts().relayed > 100U);
+    BOOST_TEST(simulated.routers[2]->counts().dispatched == 0U);
+}
--- a/pistachiospan/route/router_world_test.hpp
+++ b/pistachiospan/route/router_world_test.hpp
@@ -114,10 +114,37 @@
             this->refused[id] = made.reason;
             BOOST_TEST(made.retry_after.count() > 0);
         }
+        if (made.kind == decision_kind::refused && this->parents.contains(id))
+        {
+            this->answer_parent(id, outcome::shed);
+        }
         if (made.kind == decision_kind::dispatched)
         {
             this->run(vm, id, made.upstream);
         }
+        if (made.kind == decision_kind::relayed)
+        {
+            const auto peer = static_cast<std::size_t>(std::stoul(made.peer.value));
+            const request asked{.id = this->next_id++,
+                                .account = this->origins[id].account,
+                                .group = "g",
+                                .deadline = this->origins[id].deadline,
+                                .relayed = true};
+            this->parents[asked.id] = {vm, id};
+            this->origins[asked.id] = {peer, asked.deadline, this->now, asked.account};
+            this->at(this->now + 12ms,
+                     [=, this] {
+                         this->handle(peer, asked.id,
+                                      this->routers[peer]->submit(this->now, asked));
+                     });
+        }
+    }
+
+    void answer_parent(request_id id, outcome how)
+    {
+        const auto parent = this->parents[id];
+        this->at(this->now + 12ms,
+                 [=, this] { this->complete(parent.first, parent.second, how, 40ms); });
     }
 
     void run(std::size_t vm, request_id id, const std::string& address)
@@ -173,6 +200,10 @@
     void complete(std::size_t vm, request_id id, outcome how, duration taken)
     {
         this->routers[vm]->complete(this->now, id, how, taken);
+        if (this->parents.contains(id))
+        {
+            this->answer_parent(id, how);
+        }
     }
 
     void at(time_point when, std::function<void()> action)
@@ -231,6 +262,7 @@
     std::map<std::string, upstream> upstreams;
     std::multimap<time_point, std::function<void()>> events;
     std::map<request_id, origin> origins;
+    std::map<request_id, std::pair<std::size_t, request_id>> parents; // of relays
     std::set<request_id> dispatched;
     std::map<request_id, refusal> refused;
     std::map<std::string, std::vector<duration>> waits; // by account
