--- a/standin/load/body_check.cpp
+++ b/standin/load/body_check.cpp
@@ -20,7 +20,7 @@
         return "answer to another request";
     if (members.value("body_id", "") != expected.request_id && expected.bytes_sent > 0)
         return "body of another request";
-    if (!expected.account.empty() && members.value("account", "") != expected.account)
+    if (members.value("account", "") != expected.account)
         return "another account";
     if (members.value("bytes_received", std::uint64_t{0}) != expected.bytes_sent)
         return "request body of another length";
--- a/standin/load/body_check.hpp
+++ b/standin/load/body_check.hpp
@@ -19,7 +19,7 @@
 struct expected_answer
 {
     std::string request_id;
-    std::string account; // empty: not checked
+    std::string account; // as the upstream saw it; empty: none
     std::uint64_t bytes_sent = 0;
     std::uint64_t answer_bytes = 0; // of the filler
 };
--- a/standin/load/load_run.cpp
+++ b/standin/load/load_run.cpp
@@ -202,6 +202,11 @@
     this->attempt(work);
 }
 
+std::string load_run::account_upstream(const operation& work) const
+{
+    return this->options.anonymous ? "" : this->options.accounts[work.account].name;
+}
+
 pool_request load_run::make_request(const operation& work)
 {
     const load_account& account = this->options.accounts[work.account];
@@ -213,9 +218,9 @@
         .headers = {{"X-Request-Id", work.id},
                     {"X-Deadline-Ms", whole_milliseconds(left)}},
         .timeout = left + deadline_grace};
-    if (this->options.direct.empty())
+    if (this->options.direct.empty() && !this->options.anonymous)
         request.headers.emplace_back("X-Client-Key", account.key);
-    else
+    if (!this->options.direct.empty() && !this->options.anonymous)
         request.headers.emplace_back("X-Client-Account", account.name);
     if (!work.is_post)
         return request;
@@ -268,7 +273,7 @@
         this->result.accounts[this->options.accounts[work->account].name];
     std::optional<std::string> problem =
         answer.body.verify({.request_id = work->id,
-                            .account = this->options.accounts[work->account].name,
+                            .account = this->account_upstream(*work),
                             .bytes_sent = work->body_bytes,
                             .answer_bytes = this->options.answer_bytes});
     if (!answer.request_id.empty() && answer.request_id != work->id)
@@ -292,8 +297,8 @@
         this->recent.add(latency);
     }
     if (work->is_post)
-        this->told_by_key[this->options.accounts[work->account].name + " " + work->key] =
-            {.answered = true};
+        this->told_by_key[this->account_upstream(*work) + " " + work->key] = {.answered =
+                                                                                  true};
     this->conclude(work, answer.ended);
 }
 
@@ -314,7 +319,8 @@
     }
     this->result.refusal_latency.add(answer.ended - work->scheduled);
     if (work->is_post)
-        this->told_by_key[name + " " + work->key] = {.not_run = !work->may_have_run};
+        this->told_by_key[this->account_upstream(*work) + " " + work->key] = {
+            .not_run = !work->may_have_run};
     this->conclude(work, answer.ended);
 }
 
--- a/standin/load/load_run.hpp
+++ b/standin/load/load_run.hpp
@@ -43,6 +43,7 @@
     // ip:port of an upstream: send there, without look-ups and keys, as the baseline.
     std::string direct;
     std::vector<load_account> accounts;
+    bool anonymous = false; // open routes: send no key, expect no account upstream
     std::vector<load_route> routes;
     std::vector<std::string> upstreams; // ip:port, for their counts at the end
     double post_share = 0.2;            // of the requests; POSTs have an Idempotency-Key
@@ -111,6 +112,8 @@
     void send_direct(const operation_ptr& work);
     void send_through_entry(const operation_ptr& work);
     void attempt(const operation_ptr& work);
+    // The account that upstreams see.
+    std::string account_upstream(const operation& work) const;
     pool_request make_request(const operation& work);
     void ended(const operation_ptr& work, const pool_answer& answer);
     void ended_answered(const operation_ptr& work, const pool_answer& answer);
--- a/standin/load/load_test.cpp
+++ b/standin/load/load_test.cpp
@@ -48,7 +48,9 @@
             .address = upstream,
             .target = call->path() + "?answer_bytes=" + *call->query("answer_bytes"),
             .headers = {{"X-Request-Id", *call->header("X-Request-Id")},
-                        {"X-Client-Account", "of-" + *call->header("X-Client-Key")}},
+                        {"X-Client-Account", call->header("X-Client-Key")
+                                                 ? "of-" + *call->header("X-Client-Key")
+                                                 : ""}},
             .body_head = call->body(),
             .keep_body = true};
         if (call->method() == "POST")
@@ -219,6 +221,14 @@
     BOOST_TEST(!first.arrivals.empty());
     BOOST_TEST(!second.arrivals.empty());
     BOOST_TEST(report.describe()["accounts"].size() == 2U);
+    options.anonymous = true;
+    const load_report open = run();
+    BOOST_TEST(open.counts.answered == 60U);
+    BOOST_TEST(open.check.answered_not_run == 0U);
+    // The account must be the key's: swapped accounts are wrong answers.
+    options.anonymous = false;
+    std::swap(options.accounts[0].key, options.accounts[1].key);
+    BOOST_TEST(run().counts.wrong == 60U);
 }
 
 // Guards against reporting requests as lost when a VM ends its idle connections, as in a
--- a/standin/load/main.cpp
+++ b/standin/load/main.cpp
@@ -52,6 +52,7 @@
              [&](const char* text) { load.accounts.push_back(parse_account(text)); });
     line.add("route", "name=/path; repeat",
              [&](const char* text) { load.routes.push_back(parse_route(text)); });
+    line.add("anonymous", "send no keys: for open routes", load.anonymous);
     line.add("upstream", "ip:port, for its counts at the end; repeat", load.upstreams);
     line.add("post-share", "share of POSTs, 0 to 1", load.post_share);
     line.add_count("body-bytes", "bytes of a POST's body", load.body_bytes);
