Let a VM use several slot shares; write differences with edits; name home shares

Cause: a VM that holds the shares of a lost neighbour used only the first of them; edits carried no difference, so that peers sent whole texts; the limiter did not know which peer holds which share. Change: route::share holds a list of indexes, pistachioctl passes config::make_difference, the node passes the holders of the rate shares.

--- a/bench/route_bench.cpp
+++ b/bench/route_bench.cpp
@@ -43,7 +43,7 @@
     options.data_centre = "d";
     router made(options, std::move(hooks));
     made.set_catalogue(time_point(), active);
-    made.set_share(time_point(), {0, 1});
+    made.set_share(time_point(), {{0}, 1});
     made.allow_growth(time_point());
     return made;
 }
--- a/pistachiospan/entry/node.cpp
+++ b/pistachiospan/entry/node.cpp
@@ -95,6 +95,7 @@
     bool reading_vm_list = false;
     bool limits_settled = false;
     std::uint32_t slot_share_count = 0;
+    route::share slot_share;
     std::optional<time_point> drain_began;
     std::optional<time_point> weights_from;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -361,6 +362,9 @@
 
 void node::implementation::update_views(time_point now)
 {
+    std::map<vm_id, std::vector<std::uint32_t>> shares;
+    for (const auto& [index, holder] : this->rate_shares.holders())
+        shares[holder.vm].push_back(index);
     std::vector<limit::peer> lenders;
     std::vector<once::peer> executors;
     for (const member::peer_view& peer : this->members.peers())
@@ -368,7 +372,8 @@
         const bool live = peer.state == member::peer_state::live;
         const bool leaving = peer.draining || peer.entry.leaving;
         if (live)
-            lenders.push_back({peer.entry.id, peer.entry.data_centre, {}});
+            lenders.push_back(
+                {peer.entry.id, peer.entry.data_centre, shares[peer.entry.id]});
         executors.push_back({.id = peer.entry.id,
                              .started = peer.peer_incarnation,
                              .data_centre = peer.entry.data_centre,
@@ -386,10 +391,12 @@
     this->slot_shares.tick(now);
     this->limiter.set_shares(now, this->rate_shares.usable(now));
     const std::vector<std::uint32_t> slots = this->slot_shares.usable(now);
-    const route::share own = slots.empty()
-                                 ? route::share{}
-                                 : route::share{slots.front(), this->slot_share_count};
-    this->router.set_share(now, own);
+    route::share own{.indexes = slots, .count = this->slot_share_count};
+    if (own != this->slot_share)
+    {
+        this->slot_share = own;
+        this->router.set_share(now, std::move(own));
+    }
     this->router.allow_growth(now);
 }
 
--- a/pistachiospan/route/internal/router_catalogue.cpp
+++ b/pistachiospan/route/internal/router_catalogue.cpp
@@ -229,7 +229,7 @@
 
 void router::implementation::set_share(time_point now, share next)
 {
-    this->own = next;
+    this->own = std::move(next);
     this->growth_told = false;
     this->growth_pending = true;
     this->split_limits();
--- a/pistachiospan/route/internal/split.hpp
+++ b/pistachiospan/route/internal/split.hpp
@@ -13,17 +13,18 @@
 
 inline constexpr std::uint32_t unlimited = std::numeric_limits<std::uint32_t>::max();
 
-// Units of `total` that a share owns when unit j belongs to share (first + j) % count.
-// The sum over all shares is `total`, and each part rises with `total`.
-inline std::uint32_t part_of(std::uint32_t total, std::uint64_t first, share of)
+// Units of `total` that a share owns when unit j belongs to index (first + j) % count.
+// The sum over all indexes is `total`, and each part rises with `total`.
+inline std::uint32_t part_of(std::uint32_t total, std::uint64_t first, const share& of)
 {
-    if (of.count == 0)
+    std::uint32_t sum = 0;
+    for (const std::uint32_t index : of.indexes)
     {
-        return 0;
+        const auto start = static_cast<std::uint32_t>(first % of.count);
+        const std::uint32_t distance = (index + of.count - start) % of.count;
+        sum += total / of.count + (distance < total % of.count ? 1 : 0);
     }
-    const auto start = static_cast<std::uint32_t>(first % of.count);
-    const std::uint32_t distance = (of.index + of.count - start) % of.count;
-    return total / of.count + (distance < total % of.count ? 1 : 0);
+    return sum;
 }
 
 // A limit that falls at once and rises only in grow().
--- a/pistachiospan/route/internal/upstream_state.cpp
+++ b/pistachiospan/route/internal/upstream_state.cpp
@@ -10,7 +10,7 @@
     return this->warm_up / std::max<std::uint32_t>(this->total_slots - 1, 1);
 }
 
-std::uint32_t upstream_state::warm_limit(time_point now, share own) const
+std::uint32_t upstream_state::warm_limit(time_point now, const share& own) const
 {
     if (!this->warm_start || now - *this->warm_start >= this->warm_up)
     {
--- a/pistachiospan/route/internal/upstream_state.hpp
+++ b/pistachiospan/route/internal/upstream_state.hpp
@@ -79,7 +79,7 @@
 
     // Requests allowed by the progress of the warm-up. Its slots come in the order of the
     // deal, so all VMs together begin with one.
-    std::uint32_t warm_limit(time_point now, share own) const;
+    std::uint32_t warm_limit(time_point now, const share& own) const;
     duration warm_step() const;
 
     // Peak EWMA: a rise counts at once, a fall with the time constant `memory`.
--- a/pistachiospan/route/route.hpp
+++ b/pistachiospan/route/route.hpp
@@ -5,7 +5,7 @@
 //
 //     router steering({.data_centre = "penang-1"}, {.decided = send_or_refuse});
 //     steering.set_catalogue(now, active);
-//     steering.set_share(now, {.index = 0, .count = 2});
+//     steering.set_share(now, {.indexes = {0}, .count = 2});
 //     steering.allow_growth(now);
 //     const decision first = steering.submit(now, {.id = 1, .group = "katalog", ...});
 //     steering.complete(now, 1, outcome::ok, latency);
@@ -86,10 +86,11 @@
     not_sent,  // no byte was written; frees the slot at once
 };
 
-// This VM's part of its data centre: `index` in [0, count). Count 0 owns nothing.
+// This VM's part of its data centre: the shares `indexes`, each in [0, count). A VM holds
+// more than one while others are gone. No index owns nothing.
 struct share
 {
-    std::uint32_t index = 0;
+    std::vector<std::uint32_t> indexes;
     std::uint32_t count = 0;
     bool operator==(const share&) const = default;
 };
--- a/pistachiospan/route/router.cpp
+++ b/pistachiospan/route/router.cpp
@@ -251,7 +251,7 @@
 
 void router::set_share(time_point now, share next)
 {
-    this->self->set_share(now, next);
+    this->self->set_share(now, std::move(next));
 }
 
 void router::allow_growth(time_point now)
--- a/tools/pistachioctl/pistachioctl.cpp
+++ b/tools/pistachioctl/pistachioctl.cpp
@@ -1,5 +1,6 @@
 // The operator command. docs/settings.md describes its commands and exit codes.
 
+#include "pistachiospan/config/config.hpp"
 #include "pistachiospan/ctl/ctl.hpp"
 #include "pistachiospan/ini/ini.hpp"
 #include "pistachiospan/store_http/store_http.hpp"
@@ -340,6 +341,7 @@
          { call_after(base.get(), delay, std::move(call)); },
          .print = [](std::string_view text) { std::cout << text << std::flush; },
          .complain = [](std::string_view text) { std::cerr << text; },
+         .difference = &config::make_difference,
          .json = line.json,
          .vm_addresses = line.vm_addresses});
     std::optional<exit_code> ended;
