Clear lint findings in the scenario library

clang-tidy reported string concatenation, a const result that could not be moved and a parameter passed by value.

--- a/pistachiospan/scenario/scenario.cpp
+++ b/pistachiospan/scenario/scenario.cpp
@@ -77,13 +77,16 @@
         const bool header = line.starts_with('[');
         if (header && inside && !done)
         {
-            made += field + " = " + value + '\n';
+            made.append(field).append(" = ").append(value).append("\n");
             done = true;
         }
         if (header)
             inside = line == '[' + section + ']';
         const bool replaced = inside && !done && name == field;
-        made += (replaced ? field + " = " + value : line) + '\n';
+        if (replaced)
+            made.append(field).append(" = ").append(value).append("\n");
+        else
+            made.append(line).append("\n");
         done = done || replaced;
     }
     if (!done)
@@ -98,7 +101,7 @@
     bool found = false;
     for (std::string line; std::getline(lines, line);)
         if (line.find(part) == std::string::npos)
-            made += line + '\n';
+            made.append(line).append("\n");
         else
             found = true;
     if (!found)
@@ -262,7 +265,7 @@
     this->options.secret = "scenario";
     this->options.catalogue_text = text.value();
     this->options.entries = std::make_shared<const catalogue::catalogue>(parsed.value());
-    const auto fleet = this->read_fleet();
+    auto fleet = this->read_fleet();
     if (!fleet)
         return fleet;
     for (const statement& next : this->plan.setup)
--- a/pistachiospan/scenario/script.cpp
+++ b/pistachiospan/scenario/script.cpp
@@ -108,7 +108,7 @@
 private:
     void take_setup(statement next);
     void take_action(statement next);
-    void take_expectation(statement next);
+    void take_expectation(const statement& next);
     void take_comparison(expectation& next, std::size_t at);
     bool check(const statement& next, const form_table& forms);
     void complain(std::size_t line, const std::string& what);
@@ -257,7 +257,7 @@
     this->made.expectations.push_back(std::move(next));
 }
 
-void reader::take_expectation(statement next)
+void reader::take_expectation(const statement& next)
 {
     static const std::map<std::string, bool, std::less<>> counts{
         {"duplicates", false}, {"over-slots", false},     {"false-not-run", false},
@@ -325,7 +325,7 @@
     if (next.words.front() == "at")
         return this->take_action(std::move(next));
     if (next.words.front() == "expect")
-        return this->take_expectation(std::move(next));
+        return this->take_expectation(next);
     this->take_setup(std::move(next));
 }
 
