Lend until callers have left; settle limits when the reachable VMs hold the version

A leaving VM stopped lending 7 s before its callers left, and a restarted one used no limits for 15 s, because it waited for all listed VMs to hold the version, the restarting ones included. Slot shares were released 11 s late. Change: lending ends when the callers' cached answers have expired; limits settle when all reachable VMs have held the version for 3 s; the release of a share waits for its loans only, and slots have none.

--- a/pistachiospan/entry/node.cpp
+++ b/pistachiospan/entry/node.cpp
@@ -29,6 +29,13 @@
 // Slots of a lost VM may still be in use until the longest deadline of a request.
 constexpr duration slot_hold = std::chrono::seconds(11);
 
+// Loans of a lost VM may still be in use for this long.
+const duration loan_hold = limit::max_loan_time(limit::limiter_options().loan_time);
+
+// Time for which all reachable VMs hold a version before its limits apply in full. A VM
+// activates a version at most 2 s after it holds it.
+constexpr duration settle_time = std::chrono::seconds(3);
+
 std::string slot_scope(std::string_view data_centre)
 {
     return "dc-" + std::string(data_centre);
@@ -68,7 +75,8 @@
 private:
     config::hooks make_config_hooks();
     pipeline_hooks make_pipeline_hooks();
-    share::claimer_options claimer_options(std::string scope, duration idle) const;
+    share::claimer_options claimer_options(std::string scope, duration idle,
+                                           duration release) const;
     void receive_share(time_point now, const vm_id& from, std::string_view type,
                        const wire::body& content);
     void send(const vm_id& to, std::string_view type, const wire::body& content);
@@ -94,6 +102,7 @@
     time_point next_vm_list;
     bool reading_vm_list = false;
     bool limits_settled = false;
+    std::optional<time_point> held_since; // all reachable VMs hold the active version
     std::uint32_t slot_share_count = 0;
     route::share slot_share;
     std::optional<time_point> drain_began;
@@ -112,17 +121,16 @@
                .store_region = this->options.store_region,
                .seed = this->options.seed},
               this->make_config_hooks(), platform.table, platform.objects, this->members),
-      rate_shares(
-          this->claimer_options(std::string(rate_scope),
-                                limit::max_loan_time(limit::limiter_options().loan_time)),
-          platform.table,
-          [this](const vm_id& to, std::string_view type, const wire::body& content)
-          { this->send(to, type, content); }),
-      slot_shares(
-          this->claimer_options(slot_scope(this->options.self.data_centre), slot_hold),
-          platform.table,
-          [this](const vm_id& to, std::string_view type, const wire::body& content)
-          { this->send(to, type, content); }),
+      rate_shares(this->claimer_options(std::string(rate_scope), loan_hold, loan_hold),
+                  platform.table,
+                  [this](const vm_id& to, std::string_view type,
+                         const wire::body& content) { this->send(to, type, content); }),
+      // Slots are not lent, and they are released when nothing is in progress.
+      slot_shares(this->claimer_options(slot_scope(this->options.self.data_centre),
+                                        slot_hold, duration(0)),
+                  platform.table,
+                  [this](const vm_id& to, std::string_view type,
+                         const wire::body& content) { this->send(to, type, content); }),
       limiter(
           {.self = this->options.self.id,
            .self_incarnation = this->options.self_incarnation,
@@ -171,14 +179,16 @@
 }
 
 share::claimer_options node::implementation::claimer_options(std::string scope,
-                                                             duration idle) const
+                                                             duration idle,
+                                                             duration release) const
 {
     return {.self = this->options.self.id,
             .self_incarnation = this->options.self_incarnation,
             .address = this->options.self.address,
             .scope = std::move(scope),
             .seed = this->options.seed,
-            .idle_time = idle};
+            .idle_time = idle,
+            .release_time = release};
 }
 
 config::hooks node::implementation::make_config_hooks()
@@ -249,6 +259,7 @@
         std::make_shared<const catalogue::catalogue>(std::move(parsed.value()));
     const time_point now = this->present;
     this->limits_settled = false;
+    this->held_since.reset();
     this->limiter.set_accounts(now, *this->active);
     this->router.set_catalogue(now, *this->active);
     this->requests.set_catalogue(now, this->active);
@@ -280,12 +291,13 @@
     }
 }
 
-// Releases the shares of a leaving VM: rates once its loans have ended and callers have
-// stopped using it, slots once nothing is in progress.
+// Releases the shares of a leaving VM: rates once callers have stopped using it and its
+// loans have ended (until then others borrow from it), slots once nothing is in progress.
 void node::implementation::release_shares(time_point now)
 {
     if (!this->drain_began || now < *this->drain_began + this->options.drain_grace)
         return;
+    this->limiter.drain(now);
     if (now >= this->limiter.loans_end())
         this->rate_shares.release(now);
     if (this->requests.in_progress() == 0)
@@ -305,13 +317,18 @@
     this->release_shares(now);
 }
 
-// Limits of a version apply in full once every known VM holds it.
+// Raises limits once every reachable VM has the version in force. VMs that cannot be
+// reached keep their old limits for as long as they are cut off, so waiting for them
+// would gain nothing.
 void node::implementation::settle_limits(time_point now)
 {
     if (this->limits_settled || !this->active)
         return;
-    if (this->members.holders(this->replica.active_version()) <
-        this->members.fleet().known)
+    const bool held = this->members.holders(this->replica.active_version()) >=
+                      this->members.fleet().reachable;
+    if (!held || !this->held_since)
+        this->held_since = held ? std::optional(now) : std::nullopt;
+    if (!this->held_since || now < *this->held_since + settle_time)
         return;
     this->limits_settled = true;
     this->limiter.set_accounts(now, *this->active, true);
@@ -529,7 +546,6 @@
     this->drain_began = now;
     this->members.set_draining(true);
     this->executor.leave(now);
-    this->limiter.drain(now);
 }
 
 // Callers' cached answers have expired, nothing is in progress, and shares and shards
--- a/pistachiospan/share/share.cpp
+++ b/pistachiospan/share/share.cpp
@@ -188,7 +188,7 @@
         return;
     each.leaving = true;
     // Loans on the share end within this time.
-    each.remove_at = now + this->options.idle_time;
+    each.remove_at = now + this->options.release_time;
 }
 
 void share_claimer::detect_pause(time_point now)
--- a/pistachiospan/share/share.hpp
+++ b/pistachiospan/share/share.hpp
@@ -79,6 +79,8 @@
     std::uint64_t seed = 0;
     // At least one maximum loan of the limiter: limit::max_loan_time(3 s).
     duration idle_time = std::chrono::milliseconds(3130);
+    // From the end of the use of a share to the removal of its row: loans end by then.
+    duration release_time = std::chrono::milliseconds(3130);
     duration renew_interval = std::chrono::seconds(20);
     duration scan_interval = std::chrono::seconds(20);
     duration absent_time = std::chrono::seconds(60); // before a share is taken over
