--- a/pistachiospan/daemon/internal/peer_links.cpp
+++ b/pistachiospan/daemon/internal/peer_links.cpp
@@ -45,7 +45,7 @@
               .secret = this->options.secret}),
       opener({.self = this->options.self, .secret = this->options.secret}),
       server(base, {.address = this->options.address,
-                    .on_request = [this](std::string_view path, std::string body,
+                    .on_request = [this](std::string_view path, const std::string& body,
                                          const peer_transport::reply_sender& reply)
                     {
                         this->serve(path, std::move(body), reply);
@@ -96,7 +96,7 @@
         });
 }
 
-void peer_links::serve(std::string_view path, std::string body,
+void peer_links::serve(std::string_view path, const std::string& body,
                        const peer_transport::reply_sender& reply)
 {
     ++this->counted.messages_received;
--- a/pistachiospan/daemon/internal/peer_links.hpp
+++ b/pistachiospan/daemon/internal/peer_links.hpp
@@ -60,7 +60,7 @@
 
 private:
     peer_transport::peer_client& client_of(const std::string& address);
-    void serve(std::string_view path, std::string body,
+    void serve(std::string_view path, const std::string& body,
                const peer_transport::reply_sender& reply);
     void serve_message(std::string_view sealed);
     void serve_relay(std::string_view frame, const peer_transport::reply_sender& reply);
--- a/pistachiospan/entry/node_test.cpp
+++ b/pistachiospan/entry/node_test.cpp
@@ -132,7 +132,8 @@
     std::shared_ptr<std::optional<answer>> send(caller_request request)
     {
         auto got = std::make_shared<std::optional<answer>>();
-        vm.submit(now, wall, std::move(request), [got](answer made) { *got = made; });
+        vm.submit(now, wall, std::move(request),
+                  [got](const answer& made) { *got = made; });
         run(std::chrono::milliseconds(20));
         return got;
     }
@@ -287,7 +288,7 @@
     {
         auto got = std::make_shared<std::optional<answer>>();
         vm.submit(now, wall, {.method = "GET", .target = "/orders/1", .key = key},
-                  [got](answer made) { *got = made; });
+                  [got](const answer& made) { *got = made; });
         answers.push_back(got);
     }
     run(std::chrono::milliseconds(200));
--- a/pistachiospan/scenario/internal/simulation.hpp
+++ b/pistachiospan/scenario/internal/simulation.hpp
@@ -127,7 +127,7 @@
     void heal();
     void edit(std::string id,
               std::function<result<std::string>(const std::string&)> change);
-    void drain(std::string id, const std::string& upstream);
+    void drain(const std::string& id, const std::string& upstream);
     void set_upstream_down(const std::string& address, bool down);
 
     std::map<std::string, fake_upstream> upstreams;
--- a/pistachiospan/scenario/simulation.cpp
+++ b/pistachiospan/scenario/simulation.cpp
@@ -854,7 +854,7 @@
         });
 }
 
-void simulation::drain(std::string id, const std::string& upstream)
+void simulation::drain(const std::string& id, const std::string& upstream)
 {
     this->seen.drains[upstream] = this->clock;
     this->new_operator().command.drain(
