--- a/pistachiospan/edit/edit.cpp
+++ b/pistachiospan/edit/edit.cpp
@@ -10,6 +10,9 @@
 namespace pistachiospan::edit
 {
 
+using config::head_key;
+using config::log_key;
+
 namespace
 {
 
@@ -17,15 +20,9 @@
 constexpr std::size_t max_author = 64;
 // Rows stay small: more changes than this are counted only; the texts hold all of them.
 constexpr std::size_t max_changes_stored = 100;
-constexpr std::string_view head_key = "catalogue/head";
 constexpr std::string_view apply_request = "apply";
 constexpr std::string_view base_mark = "; based on version ";
 
-std::string log_key(catalogue_version version)
-{
-    return "catalogue/log/" + std::to_string(version);
-}
-
 std::string edit_key(const std::string& edit_id)
 {
     return "catalogue/edit/" + edit_id;
@@ -535,22 +532,6 @@
 
 } // namespace
 
-void to_json(nlohmann::json& out, const head& value)
-{
-    out = {{"version", value.version},
-           {"digest", value.digest},
-           {"edit", value.edit_id},
-           {"object", value.object}};
-}
-
-void from_json(const nlohmann::json& in, head& value)
-{
-    in.at("version").get_to(value.version);
-    in.at("digest").get_to(value.digest);
-    in.at("edit").get_to(value.edit_id);
-    in.at("object").get_to(value.object);
-}
-
 editor::editor(store::table& rows, store::object_store& objects, editor_options options)
     : rows(rows), objects(objects), options(std::move(options))
 {
--- a/pistachiospan/edit/edit.hpp
+++ b/pistachiospan/edit/edit.hpp
@@ -22,6 +22,7 @@
 
 #include "pistachiospan/base/base.hpp"
 #include "pistachiospan/catalogue/catalogue.hpp"
+#include "pistachiospan/config/config.hpp"
 #include "pistachiospan/store/store.hpp"
 
 #include <optional>
@@ -31,17 +32,7 @@
 {
 
 // Value of the row catalogue/head.
-struct head
-{
-    catalogue_version version = 0;
-    std::string digest;
-    std::string edit_id;
-    std::string object;
-    bool operator==(const head&) const = default;
-};
-
-void to_json(nlohmann::json& out, const head& value);
-void from_json(const nlohmann::json& in, head& value);
+using config::head;
 
 // A version and its text. Version 0 and no text: nothing has been accepted yet.
 struct snapshot
