Keep the slot of a timed-out request until its upstream has stopped

Cause: a request that timed out at its deadline freed its slot at once, while the upstream may work for up to 100 ms longer; another request could then be over the slots. Change: router outcome timed_out counts as a failure and holds the slot as a cancelled request does.

--- a/pistachiospan/entry/pipeline.cpp
+++ b/pistachiospan/entry/pipeline.cpp
@@ -478,9 +478,11 @@
                       has_flag(outcome.value().headers, not_run_header);
     if (outcome && has_flag(outcome.value().headers, drain_header))
         this->parts.router.drain(now, item->upstream);
+    const bool expired = !outcome && outcome.error().code == errc::timeout;
     const bool failed = !outcome || outcome.value().status >= status_server_error;
     const route::outcome how = shed       ? route::outcome::shed
                                : not_sent ? route::outcome::not_sent
+                               : expired  ? route::outcome::timed_out
                                : failed   ? route::outcome::failed
                                           : route::outcome::ok;
     const std::string upstream = item->upstream;
@@ -497,7 +499,6 @@
     const bool not_run = shed || not_sent;
     if (this->try_again(now, *item, not_run, upstream))
         return;
-    const bool expired = !outcome && outcome.error().code == errc::timeout;
     const ran run = not_run && !item->may_have_run ? ran::no : ran::unknown;
     this->refuse(now, *item,
                  expired ? refusal_code::timeout : refusal_code::upstream_failed, run,
--- a/pistachiospan/route/route.hpp
+++ b/pistachiospan/route/route.hpp
@@ -84,6 +84,7 @@
     shed,      // the upstream or the relaying peer refused it as not run
     cancelled, // the caller left; the upstream may still work on it
     not_sent,  // no byte was written; frees the slot at once
+    timed_out, // failed at its deadline; holds the slot as a cancelled one does
 };
 
 // This VM's part of its data centre: the shares `indexes`, each in [0, count). A VM holds
--- a/pistachiospan/route/router.cpp
+++ b/pistachiospan/route/router.cpp
@@ -145,7 +145,11 @@
         return; // the end of its connection or its deadline frees the slot
     }
     upstream_state* upstream = ended.upstream;
-    if (how == outcome::cancelled)
+    if (how == outcome::timed_out && upstream != nullptr)
+    {
+        this->failed(now, *upstream);
+    }
+    if (how == outcome::cancelled || how == outcome::timed_out)
     {
         ended.cancelled = true;
         return;
--- a/pistachiospan/route/router_test.cpp
+++ b/pistachiospan/route/router_test.cpp
@@ -343,6 +343,38 @@
     BOOST_TEST((kind_of(3, 1s) == decision_kind::dispatched));
 }
 
+// Guards against a slot that is given away at the deadline of a request, before the
+// upstream has stopped its work, and against time-outs that do not count as failures.
+BOOST_AUTO_TEST_CASE(a_timed_out_request_holds_its_slot_and_counts_as_a_failure)
+{
+    world simulated(1);
+    simulated.add_router();
+    simulated.start(make_catalogue(2, 1));
+    router& first = *simulated.routers[0];
+    const auto submit = [&](request_id id, duration deadline)
+    {
+        return first.submit(
+            simulated.now,
+            {.id = id, .group = "g", .deadline = simulated.now + deadline});
+    };
+    request_id id = 0;
+    for (int round = 0; round < 20 && first.counts().ejections == 0; ++round)
+    {
+        const request_id one = ++id;
+        const request_id two = ++id;
+        BOOST_REQUIRE((submit(one, 1s).kind == decision_kind::dispatched));
+        BOOST_REQUIRE((submit(two, 1s).kind == decision_kind::dispatched));
+        simulated.now += 1s;
+        first.complete(simulated.now, one, outcome::timed_out, 1s);
+        first.complete(simulated.now, two, outcome::timed_out, 1s);
+        BOOST_TEST(first.counts().in_flight == 2U);
+        simulated.now += 101ms;
+        first.tick(simulated.now);
+        BOOST_TEST(first.counts().in_flight == 0U);
+    }
+    BOOST_TEST(first.counts().ejections > 0U);
+}
+
 // Guards against a move that goes on while its destination is slow or full, and against
 // steps larger than a tenth.
 BOOST_AUTO_TEST_CASE(a_shift_advances_by_tenths_waits_and_steps_back)
