--- a/pistachiospan/daemon/internal/peer_links.cpp
+++ b/pistachiospan/daemon/internal/peer_links.cpp
@@ -48,7 +48,7 @@
                     .on_request = [this](std::string_view path, const std::string& body,
                                          const peer_transport::reply_sender& reply)
                     {
-                        this->serve(path, std::move(body), reply);
+                        this->serve(path, body, reply);
                     }})
 {
 }
--- a/pistachiospan/entry/pipeline.cpp
+++ b/pistachiospan/entry/pipeline.cpp
@@ -662,7 +662,7 @@
     exchange* item = this->find(id);
     if (item == nullptr)
         return;
-    item->done = [](answer) {
+    item->done = [](const answer&) {
     };
     // A request that changes something goes on, so that its outcome is recorded.
     if (!item->idempotent)
