--- /dev/null
+++ b/pistachiospan/allowance/allowance.cpp
@@ -0,0 +1,148 @@
+#include "pistachiospan/allowance/allowance.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pistachiospan::allowance
+{
+
+namespace
+{
+
+double seconds_of(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+duration from_seconds(double seconds)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+// Rates below this are noise of the decaying estimate.
+constexpr double least_reported = 0.05; // requests per second
+
+} // namespace
+
+ledger::ledger(ledger_options options) : options(options) {}
+
+void ledger::set_accounts(time_point now, std::span<const desired::account> accounts,
+                          bool fresh)
+{
+    std::unordered_map<std::string, bucket> next;
+    for (const desired::account& each : accounts)
+    {
+        if (each.rate <= 0)
+            continue;
+        const auto known = this->buckets.find(each.name);
+        bucket made;
+        if (known != this->buckets.end())
+        {
+            made = known->second;
+            this->refill(now, made);
+        }
+        made.rate = each.rate;
+        made.burst = each.burst;
+        if (known == this->buckets.end())
+        {
+            made.refilled = now;
+            made.decayed = now;
+            made.tokens = fresh ? this->capacity(made) : this->options.least_capacity;
+        }
+        made.tokens = std::min(made.tokens, this->capacity(made));
+        next.emplace(each.name, made);
+    }
+    this->buckets = std::move(next);
+}
+
+void ledger::set_vm_count(std::size_t count)
+{
+    this->vm_count = std::max<std::size_t>(count, 1);
+}
+
+void ledger::set_remote_demand(time_point now, std::string_view account, double rate)
+{
+    const auto found = this->buckets.find(std::string(account));
+    if (found == this->buckets.end())
+        return;
+    this->refill(now, found->second);
+    found->second.remote = std::max(rate, 0.0);
+}
+
+double ledger::part(const bucket& of) const
+{
+    const double least = of.rate * this->options.least_demand;
+    const double own = of.demand + least;
+    const double others =
+        of.remote + least * static_cast<double>(this->vm_count - 1);
+    return own / (own + others);
+}
+
+double ledger::capacity(const bucket& of) const
+{
+    return std::max(of.burst * this->part(of), this->options.least_capacity);
+}
+
+void ledger::refill(time_point now, bucket& of) const
+{
+    const double elapsed = seconds_of(std::max(now - of.refilled, duration(0)));
+    of.refilled = now;
+    of.tokens = std::min(of.tokens + elapsed * of.rate * this->part(of),
+                         this->capacity(of));
+}
+
+void ledger::decay(time_point now, bucket& of) const
+{
+    const double memory = seconds_of(this->options.demand_memory);
+    const double elapsed = seconds_of(std::max(now - of.decayed, duration(0)));
+    of.decayed = now;
+    of.demand *= std::exp(-elapsed / memory);
+}
+
+admission ledger::admit(time_point now, std::string_view account)
+{
+    const auto found = this->buckets.find(std::string(account));
+    if (found == this->buckets.end())
+        return {.admitted = true};
+    bucket& of = found->second;
+    this->refill(now, of);
+    this->decay(now, of);
+    of.demand += 1 / seconds_of(this->options.demand_memory);
+    if (of.tokens >= 1)
+    {
+        of.tokens -= 1;
+        return {.admitted = true};
+    }
+    const double rate = of.rate * this->part(of);
+    return {.retry_after = from_seconds((1 - of.tokens) / rate)};
+}
+
+void ledger::give_back(time_point now, std::string_view account)
+{
+    const auto found = this->buckets.find(std::string(account));
+    if (found == this->buckets.end())
+        return;
+    this->refill(now, found->second);
+    found->second.tokens =
+        std::min(found->second.tokens + 1, this->capacity(found->second));
+}
+
+std::vector<demand> ledger::local_demand(time_point now)
+{
+    std::vector<demand> all;
+    for (auto& [name, each] : this->buckets)
+    {
+        this->decay(now, each);
+        if (each.demand >= least_reported)
+            all.push_back({name, each.demand});
+    }
+    return all;
+}
+
+double ledger::part_of(std::string_view account) const
+{
+    const auto found = this->buckets.find(std::string(account));
+    return found == this->buckets.end() ? 1.0 : this->part(found->second);
+}
+
+} // namespace pistachiospan::allowance
--- /dev/null
+++ b/pistachiospan/allowance/allowance.hpp
@@ -0,0 +1,102 @@
+// Rate and burst of client accounts over the whole fleet, divided among the VMs in
+// proportion to the demand that each of them reports.
+//
+// Example:
+//
+//     ledger allowances({.initial_part = 1.0 / 9});
+//     allowances.set_accounts(now, active.accounts());
+//     allowances.set_remote_demand(now, account, 40.0); // sum over the other VMs
+//     const admission made = allowances.admit(now, account);
+//     if (!made.admitted)
+//         refuse(made.retry_after);
+//
+// Each VM holds a token bucket of (rate * part, burst * part), where part is its share of
+// the known demand. The parts of VMs with the same reports sum to one. Reports lag, so the
+// sum may exceed the limit while demand moves between VMs; a bucket never refills above
+// its present capacity, which bounds the excess by one burst for each move.
+
+#ifndef PISTACHIOSPAN_ALLOWANCE_ALLOWANCE_HPP
+#define PISTACHIOSPAN_ALLOWANCE_ALLOWANCE_HPP
+
+#include "pistachiospan/desired/desired.hpp"
+
+#include <unordered_map>
+
+namespace pistachiospan::allowance
+{
+
+struct ledger_options
+{
+    // Time constant of the demand estimate.
+    duration demand_memory = std::chrono::milliseconds(1500);
+    // Demand added to each VM, so that one without requests can admit its first ones.
+    // Requests per second, as a part of the account's rate.
+    double least_demand = 0.02;
+    // Smallest capacity of a bucket, in tokens: below one, nothing could ever pass.
+    double least_capacity = 1.0;
+};
+
+struct admission
+{
+    bool admitted = false;
+    duration retry_after{0}; // not admitted: when a token is expected
+};
+
+// One account's demand, as VMs tell each other.
+struct demand
+{
+    std::string account;
+    double rate = 0; // requests per second, admitted or not
+};
+
+class ledger
+{
+public:
+    explicit ledger(ledger_options options);
+
+    // Accounts that stay keep their tokens, up to the new capacity. New ones begin with a
+    // full bucket only if the limits are new to the fleet, which `fresh` says.
+    void set_accounts(time_point now, std::span<const desired::account> accounts,
+                      bool fresh);
+
+    // Number of VMs that may take requests, this one included.
+    void set_vm_count(std::size_t count);
+    // Demand at all other VMs together.
+    void set_remote_demand(time_point now, std::string_view account, double rate);
+
+    // Counts the request as demand and takes a token if there is one.
+    admission admit(time_point now, std::string_view account);
+    // The request was not run after all: gives its token back.
+    void give_back(time_point now, std::string_view account);
+
+    // This VM's demand, for the other VMs. Accounts without any are left out.
+    std::vector<demand> local_demand(time_point now);
+
+    // This VM's part of the account, 0 to 1.
+    double part_of(std::string_view account) const;
+
+private:
+    struct bucket
+    {
+        double rate = 0;
+        double burst = 0;
+        double tokens = 0;
+        double demand = 0; // requests per second
+        double remote = 0;
+        time_point refilled;
+        time_point decayed;
+    };
+
+    void refill(time_point now, bucket& of) const;
+    void decay(time_point now, bucket& of) const;
+    double part(const bucket& of) const;
+    double capacity(const bucket& of) const;
+
+    ledger_options options;
+    std::size_t vm_count = 1;
+    std::unordered_map<std::string, bucket> buckets;
+};
+
+} // namespace pistachiospan::allowance
+
+#endif
--- /dev/null
+++ b/pistachiospan/desired/desired.cpp
@@ -0,0 +1,80 @@
+#include "pistachiospan/desired/desired.hpp"
+
+#include <numeric>
+
+namespace pistachiospan::desired
+{
+
+namespace
+{
+
+// Keeps the choice of a target apart from other decisions that hash the request id.
+constexpr std::uint64_t target_seed = 0x7a6c;
+
+// Maps a hash to [0, 1).
+double unit_of(std::uint64_t hash)
+{
+    constexpr double range = 18446744073709551616.0; // 2^64
+    return static_cast<double>(hash) / range;
+}
+
+} // namespace
+
+state::state(content all) : all(std::move(all))
+{
+    for (const route& each : this->all.routes)
+        this->by_host[each.host].emplace(each.prefix, &each);
+    for (const account& each : this->all.accounts)
+        for (const std::string& key : each.keys)
+            this->by_key.emplace(key, &each);
+    for (const service& each : this->all.services)
+        this->by_name.emplace(each.name, &each);
+}
+
+const route* state::find_route(std::string_view host, std::string_view path) const
+{
+    const auto routes = this->by_host.find(host);
+    if (routes == this->by_host.end())
+        return nullptr;
+    // Prefixes end with a slash: only these positions can match.
+    std::size_t end = path.rfind('/');
+    while (end != std::string_view::npos)
+    {
+        const auto found = routes->second.find(path.substr(0, end + 1));
+        if (found != routes->second.end())
+            return found->second;
+        if (end == 0)
+            break;
+        end = path.rfind('/', end - 1);
+    }
+    return nullptr;
+}
+
+const account* state::find_account(std::string_view key) const
+{
+    const auto found = this->by_key.find(key);
+    return found == this->by_key.end() ? nullptr : found->second;
+}
+
+const service* state::find_service(std::string_view name) const
+{
+    const auto found = this->by_name.find(name);
+    return found == this->by_name.end() ? nullptr : found->second;
+}
+
+const target& choose_target(const route& of, std::string_view request_id)
+{
+    const double total =
+        std::accumulate(of.targets.begin(), of.targets.end(), 0.0,
+                        [](double sum, const target& each) { return sum + each.weight; });
+    double left = unit_of(hash_bytes(request_id, target_seed)) * total;
+    for (const target& each : of.targets)
+    {
+        if (left < each.weight)
+            return each;
+        left -= each.weight;
+    }
+    return of.targets.back();
+}
+
+} // namespace pistachiospan::desired
--- /dev/null
+++ b/pistachiospan/edge/edge.cpp
@@ -0,0 +1,660 @@
+#include "pistachiospan/edge/edge.hpp"
+
+#include "pistachiospan/edge/internal/follower.hpp"
+#include "pistachiospan/edge/internal/metrics.hpp"
+#include "pistachiospan/edge/internal/peer_link.hpp"
+#include "pistachiospan/event_log/event_log.hpp"
+#include "pistachiospan/event_loop/event_loop.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace pistachiospan::edge
+{
+
+namespace
+{
+
+using event_loop::monotonic_now;
+using event_loop::one_shot_timer;
+using event_loop::periodic_timer;
+using event_loop::wall_now;
+using fields = nlohmann::ordered_json;
+
+// Callers that hold an older directory answer still come after SIGTERM: the VM takes their
+// requests for this part of the grace time.
+constexpr double accepting_part = 0.5;
+// The process ends this long before it would be killed.
+constexpr duration exit_margin = std::chrono::milliseconds(400);
+constexpr duration exit_check = std::chrono::milliseconds(50);
+
+constexpr duration read_vms_interval = std::chrono::seconds(10);
+constexpr duration register_retry = std::chrono::seconds(1);
+
+// Descriptors kept for everything but callers' connections.
+constexpr std::size_t reserved_descriptors = 900;
+// Part of the memory for bodies that wait for their answer.
+constexpr std::size_t body_memory_divisor = 4;
+
+// Registry reads share changes: upstreams write every second or two, and a leaving one may
+// get requests for some seconds.
+constexpr duration upstream_pace = std::chrono::milliseconds(700);
+constexpr duration removal_grace = std::chrono::milliseconds(2500);
+
+// A kept connection that idled longer may already be closed by the upstream, and a request
+// that must not be repeated would be lost with it.
+constexpr duration most_idle_repeatable = std::chrono::seconds(4);
+constexpr duration most_idle_once = std::chrono::milliseconds(2500);
+
+// One in this many routine answers is logged.
+constexpr std::uint64_t answer_sample = 32;
+
+double milliseconds_of(duration span)
+{
+    return static_cast<double>(span.count()) / 1000;
+}
+
+} // namespace
+
+class edge_daemon::implementation
+{
+public:
+    implementation(event_base* base, edge_options options, translation words,
+                   store_access store);
+
+    void stop();
+    void reload(const edge_options& next);
+
+private:
+    struct exchange
+    {
+        http1::request request;
+    };
+
+    gateway::gateway_hooks make_gateway_hooks();
+    internal::follower_hooks make_follower_hooks(std::string name);
+
+    void take_request(http1::exchange_id id, http1::request&& incoming);
+    gateway::call_id send(const gateway::attempt& to);
+    void refuse(http1::exchange_id id, const gateway::refusal_answer& answer);
+    void record(const gateway::record& made);
+
+    void change_operator_row(const mirror::row& changed);
+    void activate(const mirror::row& changed);
+    void change_evacuations();
+    void change_upstream(const mirror::row& changed);
+    void remove_upstream(const std::string& id);
+
+    void tick();
+    void send_report(time_point now);
+    void receive_report(std::string_view datagram);
+    void recover_from_peer(time_point now);
+    void share_demand(time_point now);
+    void read_vms();
+    void register_self();
+    void apply_vm_count();
+
+    void answer_directory(http1::exchange_id id, const http1::request& asked);
+    void answer_readiness(http1::exchange_id id, const http1::request& asked);
+    void answer_metrics(http1::exchange_id id, const http1::request& asked);
+    bool ready() const;
+    void finish_when_idle();
+    void log(std::string_view event, fields content);
+
+    event_base* base;
+    edge_options options;
+    translation words;
+    store_access store;
+    event_log::event_log events;
+    internal::metrics numbers;
+    upstreams::upstream_set known_upstreams;
+    allowance::ledger allowances;
+    fleet::membership vms;
+    gateway::gateway requests;
+    http1::client upstream_client;
+    std::unordered_map<http1::exchange_id, exchange> exchanges;
+    std::set<std::string> evacuated;
+    mirror::table_mirror operator_rows;
+    mirror::table_mirror registry;
+    http1::server callers;
+    std::unique_ptr<http1::server> directory;
+    std::unique_ptr<http1::server> readiness;
+    std::unique_ptr<http1::server> metrics;
+    internal::peer_link peers;
+    internal::follower follow_operator;
+    internal::follower follow_registry;
+    periodic_timer ticker;
+    one_shot_timer vm_reader;
+    one_shot_timer registrar;
+    one_shot_timer exit_timer;
+    std::uint64_t report_sequence = 0;
+    std::uint64_t answers = 0;
+    incarnation started;
+    bool stopping = false;
+    bool accepting = true;
+    bool fetching = false;
+    time_point stop_begun;
+    time_point ready_since;
+};
+
+edge_daemon::implementation::implementation(event_base* base, edge_options given,
+                                            translation words, store_access store)
+    : base(base), options(std::move(given)), words(std::move(words)),
+      store(std::move(store)), events({.vm = this->options.vm.value}),
+      known_upstreams({.data_centre = this->options.data_centre}, this->options.places),
+      allowances({}), vms({.self = this->options.vm,
+                           .data_centre = this->options.data_centre,
+                           .regions = this->options.places}),
+      requests({.retry_ratio = this->options.retry_ratio,
+                .retry_reserve = this->options.retry_reserve},
+               {this->known_upstreams, this->allowances}, this->make_gateway_hooks()),
+      upstream_client(base, {.correlation_header = this->words.correlation_header}),
+      operator_rows({}, {.changed = [this](const mirror::row& row)
+                         { this->change_operator_row(row); },
+                         .removed = [this](const std::string&)
+                         { this->change_evacuations(); }}),
+      registry({.removal_grace = removal_grace},
+               {.changed = [this](const mirror::row& row) { this->change_upstream(row); },
+                .removed = [this](const std::string& id)
+                { this->remove_upstream(id); }}),
+      callers(base, this->options.callers,
+              {.received = [this](http1::exchange_id id, http1::request&& incoming)
+               { this->take_request(id, std::move(incoming)); },
+               .left =
+                   [this](http1::exchange_id id)
+               {
+                   this->requests.caller_left(monotonic_now(), id);
+                   this->exchanges.erase(id);
+               }}),
+      peers(base, this->options.peers,
+            {.received = [this](std::string_view bytes) { this->receive_report(bytes); },
+             .tables =
+                 [this]
+             {
+                 return internal::peer_tables{this->operator_rows.whole(),
+                                              this->registry.whole()};
+             }}),
+      follow_operator(base, {.followed = table::operator_rows}, this->store,
+                      this->operator_rows, this->make_follower_hooks("operator_rows")),
+      follow_registry(base, {.followed = table::upstreams, .pace = upstream_pace},
+                      this->store, this->registry,
+                      this->make_follower_hooks("upstreams")),
+      ticker(base, this->options.report_interval, [this] { this->tick(); }),
+      vm_reader(base, [this] { this->read_vms(); }),
+      registrar(base, [this] { this->register_self(); }),
+      exit_timer(base, [this] { this->finish_when_idle(); }),
+      started(static_cast<incarnation>(wall_now().time_since_epoch().count()))
+{
+    const auto serve = [this](const std::string& address, auto answer)
+    {
+        if (address.empty())
+            return std::unique_ptr<http1::server>();
+        return std::make_unique<http1::server>(
+            this->base, address,
+            http1::server_hooks{
+                .received = [this, answer](http1::exchange_id id, http1::request&& asked)
+                { (this->*answer)(id, asked); }});
+    };
+    this->directory = serve(this->options.directory, &implementation::answer_directory);
+    this->readiness = serve(this->options.readiness, &implementation::answer_readiness);
+    this->metrics = serve(this->options.metrics, &implementation::answer_metrics);
+    this->vm_reader.start(duration(0));
+    this->registrar.start(duration(0));
+    this->log("started", {{"data_centre", this->options.data_centre},
+                          {"callers", this->options.callers},
+                          {"peers", this->options.peers}});
+}
+
+void edge_daemon::implementation::log(std::string_view event, fields content)
+{
+    this->events.write(monotonic_now(), wall_now(), event, std::move(content));
+}
+
+gateway::gateway_hooks edge_daemon::implementation::make_gateway_hooks()
+{
+    return {.send = [this](const gateway::attempt& to) { return this->send(to); },
+            .cancel = [this](gateway::call_id call) { this->upstream_client.cancel(call); },
+            .deliver =
+                [this](gateway::exchange_id id, const std::any& answer)
+            {
+                this->exchanges.erase(id);
+                this->callers.respond(id, std::any_cast<const http1::response&>(answer));
+            },
+            .refuse = [this](gateway::exchange_id id, const gateway::refusal_answer& why)
+            { this->refuse(id, why); },
+            .report = [this](const gateway::record& made) { this->record(made); }};
+}
+
+internal::follower_hooks
+edge_daemon::implementation::make_follower_hooks(std::string name)
+{
+    return {.lost =
+                [this, name](const error& problem)
+            {
+                this->numbers.count_store_read(name, false);
+                this->log("store_lost", {{"table", name}, {"problem", problem.message}});
+            },
+            .regained = [this, name] { this->log("store_regained", {{"table", name}}); },
+            .read = [this, name] { this->numbers.count_store_read(name, true); }};
+}
+
+void edge_daemon::implementation::take_request(http1::exchange_id id,
+                                               http1::request&& incoming)
+{
+    result<gateway::caller_request> decoded = this->words.decode_request(incoming);
+    if (!decoded)
+    {
+        this->log("bad_request", {{"problem", decoded.error().message}});
+        this->callers.respond(id, {.status = 400}, true);
+        return;
+    }
+    this->exchanges.emplace(id, exchange{.request = std::move(incoming)});
+    this->requests.submit(monotonic_now(), id, std::move(decoded.value()));
+}
+
+gateway::call_id edge_daemon::implementation::send(const gateway::attempt& to)
+{
+    const http1::request outgoing =
+        this->words.encode_attempt(this->exchanges.at(to.exchange).request, to);
+    // The handler needs the id of its own call, which send() returns only now.
+    const auto call = std::make_shared<gateway::call_id>(0);
+    *call = this->upstream_client.send(
+        to.address, outgoing,
+        {.timeout = to.time_left,
+         .max_idle = to.repeatable ? most_idle_repeatable : most_idle_once},
+        [this, call, id = to.exchange](http1::call_result ended)
+        {
+            this->requests.finish_attempt(monotonic_now(), id, *call,
+                                          this->words.decode_attempt(std::move(ended)));
+        });
+    return *call;
+}
+
+void edge_daemon::implementation::refuse(http1::exchange_id id,
+                                         const gateway::refusal_answer& answer)
+{
+    this->exchanges.erase(id);
+    this->callers.respond(id, this->words.encode_refusal(answer));
+}
+
+void edge_daemon::implementation::record(const gateway::record& made)
+{
+    this->numbers.count(made);
+    const bool late = made.objective > duration(0) && made.elapsed > made.objective;
+    const bool routine =
+        made.event == "answered" && !late && made.attempts == 1 && made.status < 500;
+    if (routine && ++this->answers % answer_sample != 0)
+        return;
+    this->log(routine || !late ? made.event : "answered_late",
+              {{"id", made.request_id},
+               {"route", made.route},
+               {"account", made.account},
+               {"service", made.service},
+               {"upstream", made.upstream},
+               {"reason", gateway::name_of(made.reason)},
+               {"status", made.status},
+               {"attempts", made.attempts},
+               {"version", made.version},
+               {"elapsed_ms", milliseconds_of(made.elapsed)},
+               {"left_ms", milliseconds_of(made.time_left)},
+               {"expected_ms", milliseconds_of(made.expected)},
+               {"load", made.load},
+               {"store_position", this->registry.position()},
+               {"detail", made.detail}});
+}
+
+void edge_daemon::implementation::change_operator_row(const mirror::row& changed)
+{
+    if (this->words.is_desired_state(changed.key))
+        this->activate(changed);
+    else
+        this->change_evacuations();
+}
+
+void edge_daemon::implementation::activate(const mirror::row& changed)
+{
+    result<desired::content> decoded = this->words.decode_desired_state(changed.value);
+    if (!decoded)
+    {
+        this->log("desired_state_rejected", {{"row_version", changed.version},
+                                             {"problem", decoded.error().message}});
+        return;
+    }
+    const auto next =
+        std::make_shared<const desired::state>(std::move(decoded.value()));
+    const desired::state* active = this->requests.active();
+    if (active != nullptr && next->version() <= active->version())
+    {
+        this->log("desired_state_older",
+                  {{"version", next->version()}, {"active", active->version()}});
+        return;
+    }
+    this->requests.set_desired(monotonic_now(), next);
+    this->callers.set_limits(
+        {.max_header = next->limits().max_header,
+         .max_body = next->limits().max_body,
+         .max_buffered = this->options.memory / body_memory_divisor,
+         .max_connections =
+             std::max(this->options.descriptors, 2 * reserved_descriptors) -
+             reserved_descriptors,
+         .header_timeout = next->limits().header_timeout,
+         .idle_timeout = next->limits().idle_timeout});
+    this->log("desired_state", {{"version", next->version()},
+                                {"row_version", changed.version},
+                                {"routes", next->routes().size()},
+                                {"accounts", next->accounts().size()}});
+}
+
+void edge_daemon::implementation::change_evacuations()
+{
+    std::set<std::string> all;
+    for (const mirror::row& each : this->operator_rows.whole().rows)
+        if (const auto data_centre = this->words.decode_evacuation(each.key))
+            all.insert(*data_centre);
+    if (all == this->evacuated)
+        return;
+    this->evacuated = all;
+    const bool at_start = !this->operator_rows.loaded();
+    this->known_upstreams.set_evacuated(monotonic_now(), all, at_start);
+    this->log("evacuation", {{"data_centres", all}, {"at_start", at_start}});
+}
+
+void edge_daemon::implementation::change_upstream(const mirror::row& changed)
+{
+    const result<upstreams::entry> said =
+        this->words.decode_upstream(changed.key, changed.value);
+    if (!said)
+    {
+        this->log("upstream_unreadable",
+                  {{"upstream", changed.key}, {"problem", said.error().message}});
+        this->remove_upstream(changed.key);
+        return;
+    }
+    const std::string change =
+        this->known_upstreams.update(monotonic_now(), said.value());
+    if (!change.empty())
+        this->log("upstream", {{"upstream", changed.key},
+                               {"change", change},
+                               {"service", said.value().service},
+                               {"address", said.value().address},
+                               {"row_version", changed.version},
+                               {"cold_ms", milliseconds_of(said.value().cold_left)}});
+}
+
+void edge_daemon::implementation::remove_upstream(const std::string& id)
+{
+    if (this->known_upstreams.remove(id))
+        this->log("upstream", {{"upstream", id}, {"change", "removed"}});
+}
+
+void edge_daemon::implementation::tick()
+{
+    const time_point now = monotonic_now();
+    this->registry.tick(now);
+    this->operator_rows.tick(now);
+    for (const vm_id& silent : this->vms.expire(now))
+        this->log("vm_lost", {{"peer", silent.value}});
+    this->share_demand(now);
+    this->send_report(now);
+    this->recover_from_peer(now);
+}
+
+void edge_daemon::implementation::send_report(time_point now)
+{
+    const desired::state* active = this->requests.active();
+    fleet::report own{.vm = this->options.vm,
+                      .started = this->started,
+                      .sequence = ++this->report_sequence,
+                      .data_centre = this->options.data_centre,
+                      .peer_address = this->options.peers,
+                      .caller_address = this->options.callers,
+                      .ready = this->ready(),
+                      .draining = this->stopping,
+                      .desired_version = active == nullptr ? 0 : active->version(),
+                      .store_position = std::max(this->registry.position(),
+                                                 this->operator_rows.position()),
+                      .demand = this->allowances.local_demand(now)};
+    this->vms.set_self(own);
+    const std::vector<std::string> addresses = this->vms.peer_addresses();
+    this->peers.send(fleet::encode(own), addresses);
+    if (addresses.empty())
+        this->peers.send(fleet::encode(own), this->options.seeds);
+}
+
+void edge_daemon::implementation::receive_report(std::string_view datagram)
+{
+    result<fleet::report> said = fleet::decode(datagram);
+    if (!said)
+    {
+        this->log("report_rejected", {{"problem", said.error().message}});
+        return;
+    }
+    const std::string name = said.value().vm.value;
+    const std::uint64_t version = said.value().desired_version;
+    if (this->vms.observe(monotonic_now(), std::move(said.value())))
+    {
+        this->log("vm_found", {{"peer", name}});
+        this->apply_vm_count();
+    }
+    const desired::state* active = this->requests.active();
+    const std::uint64_t own = active == nullptr ? 0 : active->version();
+    // The own read may hang on a connection that has gone silent.
+    if (version > own && this->follow_operator.reachable())
+    {
+        this->log("desired_state_behind",
+                  {{"peer", name}, {"peer_version", version}, {"active", own}});
+        this->follow_operator.hurry();
+    }
+}
+
+// Takes the tables of a VM that has seen a newer state of the store, while this VM can't
+// reach the store itself.
+void edge_daemon::implementation::recover_from_peer(time_point now)
+{
+    const bool reachable =
+        this->follow_operator.reachable() && this->follow_registry.reachable();
+    if (reachable || this->fetching)
+        return;
+    const fleet::peer* best = this->vms.best_informed(now);
+    const std::uint64_t own =
+        std::min(this->operator_rows.position(), this->registry.position());
+    if (best == nullptr || best->said.store_position <= own)
+        return;
+    this->fetching = true;
+    const std::string name = best->said.vm.value;
+    this->peers.fetch(
+        best->said.peer_address,
+        [this, name](const result<internal::peer_tables>& given)
+        {
+            this->fetching = false;
+            if (!given)
+            {
+                this->log("peer_tables_failed",
+                          {{"peer", name}, {"problem", given.error().message}});
+                return;
+            }
+            const internal::peer_tables& tables = given.value();
+            this->operator_rows.apply_whole(monotonic_now(), tables.operator_rows);
+            this->registry.apply_whole(monotonic_now(), tables.upstreams);
+            this->log("peer_tables",
+                      {{"peer", name}, {"position", tables.upstreams.position}});
+        });
+}
+
+void edge_daemon::implementation::share_demand(time_point now)
+{
+    const desired::state* active = this->requests.active();
+    if (active == nullptr)
+        return;
+    const std::map<std::string, double> remote = this->vms.remote_demand(now);
+    for (const desired::account& each : active->accounts())
+    {
+        const auto found = remote.find(each.name);
+        this->allowances.set_remote_demand(now, each.name,
+                                           found == remote.end() ? 0 : found->second);
+    }
+}
+
+void edge_daemon::implementation::apply_vm_count()
+{
+    const std::size_t count = this->vms.peer_addresses().size() + 1;
+    this->allowances.set_vm_count(count);
+    this->known_upstreams.set_vm_count(count);
+    this->requests.set_vm_count(count);
+}
+
+void edge_daemon::implementation::read_vms()
+{
+    this->store.read_vms(
+        [this](const result<std::map<vm_id, std::string>>& all)
+        {
+            const bool good = all.has_value();
+            if (good)
+            {
+                for (const auto& [vm, address] : all.value())
+                    this->vms.add_address(vm, address);
+                this->apply_vm_count();
+            }
+            this->vm_reader.start(good ? read_vms_interval : register_retry);
+        });
+}
+
+void edge_daemon::implementation::register_self()
+{
+    this->store.register_vm(this->options.vm, this->options.peers,
+                            [this](const result<void>& done)
+                            {
+                                if (done)
+                                    return;
+                                this->log("register_failed",
+                                          {{"problem", done.error().message}});
+                                this->registrar.start(register_retry);
+                            });
+}
+
+bool edge_daemon::implementation::ready() const
+{
+    return this->requests.active() != nullptr && this->registry.loaded() &&
+           !this->stopping;
+}
+
+void edge_daemon::implementation::answer_directory(http1::exchange_id id,
+                                                   const http1::request& asked)
+{
+    http1::server& server = *this->directory;
+    const std::optional<place> caller = this->words.decode_directory(asked);
+    if (!caller)
+    {
+        server.respond(id, {.status = 404});
+        return;
+    }
+    fleet::report own = this->vms.own();
+    own.ready = this->ready();
+    own.draining = this->stopping;
+    own.data_centre = this->options.data_centre;
+    own.caller_address = this->options.callers;
+    this->vms.set_self(std::move(own));
+    const std::vector<std::string> addresses = this->vms.addresses_for(
+        monotonic_now(), caller->region, caller->data_centre);
+    if (addresses.empty())
+        server.respond(id, {.status = 503});
+    else
+        server.respond(
+            id, this->words.encode_directory(addresses, this->options.directory_ttl));
+}
+
+void edge_daemon::implementation::answer_readiness(http1::exchange_id id,
+                                                   const http1::request& asked)
+{
+    http1::server& server = *this->readiness;
+    if (this->words.is_readiness(asked))
+        server.respond(id, {.status = this->ready() ? 200 : 503});
+    else
+        server.respond(id, {.status = 404});
+}
+
+void edge_daemon::implementation::answer_metrics(http1::exchange_id id,
+                                                 const http1::request&)
+{
+    const desired::state* active = this->requests.active();
+    const gateway::counts totals = this->requests.totals();
+    const auto set = [this](const std::string& name, auto value)
+    { this->numbers.set(name, static_cast<double>(value)); };
+    set("desired_version", active == nullptr ? 0 : active->version());
+    set("requests_pending", totals.pending);
+    set("attempts", totals.attempts);
+    set("retries", totals.retries);
+    set("upstreams", this->known_upstreams.size());
+    set("upstream_connections_opened", this->upstream_client.connections_opened());
+    set("caller_connections", this->callers.connections());
+    set("store_position", this->registry.position());
+    set("log_lines_left_out", this->events.left_out());
+    set("log_lines_lost", this->events.lost());
+    this->metrics->respond(
+        id, {.status = 200,
+             .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+             .body = this->numbers.render()});
+}
+
+void edge_daemon::implementation::stop()
+{
+    if (this->stopping)
+        return;
+    this->stopping = true;
+    this->stop_begun = monotonic_now();
+    this->callers.begin_drain();
+    this->send_report(this->stop_begun);
+    this->exit_timer.start(exit_check);
+    this->log("stopping", {{"pending", this->requests.totals().pending},
+                           {"connections", this->callers.connections()}});
+}
+
+void edge_daemon::implementation::finish_when_idle()
+{
+    const duration elapsed = monotonic_now() - this->stop_begun;
+    const auto accept_for =
+        std::chrono::duration_cast<duration>(this->options.grace * accepting_part);
+    if (elapsed >= accept_for)
+    {
+        if (std::exchange(this->accepting, false))
+            this->callers.stop_accepting();
+        this->callers.close_idle();
+    }
+    const bool idle = !this->accepting && this->callers.connections() == 0 &&
+                      this->requests.totals().pending == 0;
+    if (idle || elapsed >= this->options.grace - exit_margin)
+    {
+        this->log("stopped", {{"pending", this->requests.totals().pending}});
+        event_base_loopbreak(this->base);
+        return;
+    }
+    this->exit_timer.start(exit_check);
+}
+
+void edge_daemon::implementation::reload(const edge_options& next)
+{
+    this->options.grace = next.grace;
+    this->options.directory_ttl = next.directory_ttl;
+    this->log("reloaded", {{"grace_ms", milliseconds_of(next.grace)}});
+}
+
+edge_daemon::edge_daemon(event_base* base, edge_options options, translation words,
+                         store_access store)
+    : self(std::make_unique<implementation>(base, std::move(options), std::move(words),
+                                            std::move(store)))
+{
+}
+
+edge_daemon::~edge_daemon() = default;
+
+void edge_daemon::stop()
+{
+    this->self->stop();
+}
+
+void edge_daemon::reload(const edge_options& next)
+{
+    this->self->reload(next);
+}
+
+} // namespace pistachiospan::edge
--- /dev/null
+++ b/pistachiospan/edge/edge.hpp
@@ -0,0 +1,127 @@
+// Edge daemon: takes callers' requests on one VM and forwards them to upstreams. Wires
+// gateway, upstreams, fleet and mirrors to sockets, timers and signals.
+//
+// Example:
+//
+//     edge_daemon daemon(base, options, make_translation(), store);
+//     event_base_dispatch(base); // returns after a graceful shutdown
+//
+// What the platform and the callers speak is supplied as a translation; the daemon knows
+// no header and no field of theirs.
+
+#ifndef PISTACHIOSPAN_EDGE_EDGE_HPP
+#define PISTACHIOSPAN_EDGE_EDGE_HPP
+
+#include "pistachiospan/fleet/fleet.hpp"
+#include "pistachiospan/gateway/gateway.hpp"
+#include "pistachiospan/http1/http1.hpp"
+#include "pistachiospan/mirror/mirror.hpp"
+
+#include <memory>
+
+struct event_base;
+
+namespace pistachiospan::edge
+{
+
+struct edge_options
+{
+    vm_id vm;
+    std::string data_centre;
+    std::string region;
+    upstreams::places places; // all data centres
+    std::string callers;      // address for requests, ip:port; so are the next ones
+    std::string readiness;    // empty: none
+    std::string directory;    // empty: none
+    std::string peers;        // datagrams and tables for the other VMs
+    std::string metrics;
+    std::vector<std::string> seeds; // peer addresses of some other VMs; may be stale
+    std::size_t descriptors = 1024; // that the process may open
+    std::size_t memory = std::size_t{256} << 20U; // bytes that the process may use
+    duration grace = std::chrono::seconds(6); // from SIGTERM to SIGKILL
+    duration directory_ttl = std::chrono::seconds(2);
+    duration report_interval = std::chrono::milliseconds(500);
+    double retry_ratio = 0.2;   // repeats of a service's requests, over all VMs
+    double retry_reserve = 50;  // repeats beyond the ratio in each window, over all VMs
+    double cold_overrun = 1.0;  // bound on requests to a cold upstream, times its rate
+};
+
+// Tables of the platform's store that the daemon follows.
+enum class table
+{
+    operator_rows, // desired state and evacuations
+    upstreams,     // registry of upstreams
+};
+
+using page_handler = std::function<void(result<mirror::page>)>;
+using peer_handler = std::function<void(result<std::map<vm_id, std::string>>)>;
+
+// The platform's store. Handlers are called later, from the loop. Errors: stale (the
+// history asked for is gone: read the whole table), unavailable, limit_exceeded, others.
+struct store_access
+{
+    std::function<void(table, page_handler)> read_whole;
+    // Answers as soon as there is a change after `after`, or when `wait` has passed.
+    std::function<void(table, std::uint64_t after, duration wait, page_handler)>
+        read_changes;
+    // Writes the peer address of this VM where the other VMs find it.
+    std::function<void(const vm_id&, const std::string& address,
+                       std::function<void(result<void>)>)>
+        register_vm;
+    std::function<void(peer_handler)> read_vms;
+    // Gives up a pending read_changes() and its connection.
+    std::function<void(table)> interrupt;
+};
+
+struct place
+{
+    std::string region;
+    std::string data_centre;
+};
+
+// What the caller's request and the desired state look like on this platform.
+struct translation
+{
+    std::function<result<gateway::caller_request>(const http1::request&)> decode_request;
+    std::function<http1::request(const http1::request& from, const gateway::attempt&)>
+        encode_attempt;
+    // `answer` in the result is the http1::response for the caller.
+    std::function<gateway::attempt_result(http1::call_result)> decode_attempt;
+    std::function<http1::response(const gateway::refusal_answer&)> encode_refusal;
+    std::function<std::optional<place>(const http1::request&)> decode_directory;
+    std::function<http1::response(std::span<const std::string> addresses, duration ttl)>
+        encode_directory;
+    std::function<bool(const http1::request&)> is_readiness;
+    // True if the row is the desired state.
+    std::function<bool(std::string_view key)> is_desired_state;
+    std::function<result<desired::content>(std::string_view value)> decode_desired_state;
+    // The data centre that a row evacuates.
+    std::function<std::optional<std::string>(std::string_view key)> decode_evacuation;
+    std::function<result<upstreams::entry>(std::string_view key, std::string_view value)>
+        decode_upstream;
+    std::string correlation_header; // that upstreams repeat
+};
+
+class edge_daemon
+{
+public:
+    // Throws std::system_error if an address can't be bound.
+    edge_daemon(event_base* base, edge_options options, translation words,
+                store_access store);
+    ~edge_daemon();
+    edge_daemon(const edge_daemon&) = delete;
+    edge_daemon& operator=(const edge_daemon&) = delete;
+
+    // Begins the graceful shutdown, as SIGTERM does.
+    void stop();
+    // Takes over what may change while the process runs.
+    void reload(const edge_options& next);
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> self;
+};
+
+} // namespace pistachiospan::edge
+
+#endif
--- /dev/null
+++ b/pistachiospan/edge/internal/metrics.hpp
@@ -0,0 +1,44 @@
+// Prometheus metrics of one edge daemon. Label values come from the desired state and from
+// fixed lists, so their number is bounded.
+
+#ifndef PISTACHIOSPAN_EDGE_INTERNAL_METRICS_HPP
+#define PISTACHIOSPAN_EDGE_INTERNAL_METRICS_HPP
+
+#include "pistachiospan/gateway/gateway.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+
+namespace pistachiospan::edge::internal
+{
+
+class metrics
+{
+public:
+    metrics();
+
+    void count(const gateway::record& made);
+    void count_store_read(std::string_view table, bool good);
+    void set(const std::string& name, double value);
+
+    std::string render();
+
+private:
+    prometheus::Histogram& latency_of(const std::string& route);
+
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& requests;
+    prometheus::Family<prometheus::Histogram>& latency;
+    prometheus::Family<prometheus::Counter>& store_reads;
+    prometheus::Family<prometheus::Gauge>& gauges;
+    std::map<std::string, prometheus::Histogram*> by_route;
+};
+
+} // namespace pistachiospan::edge::internal
+
+#endif
--- /dev/null
+++ b/pistachiospan/edge/metrics.cpp
@@ -0,0 +1,80 @@
+#include "pistachiospan/edge/internal/metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace pistachiospan::edge::internal
+{
+
+namespace
+{
+
+// Routes with a histogram of their own; the others share one.
+constexpr std::size_t most_routes = 64;
+
+prometheus::Histogram::BucketBoundaries latency_buckets()
+{
+    return {0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4}; // seconds
+}
+
+} // namespace
+
+metrics::metrics()
+    : requests(prometheus::BuildCounter()
+                   .Name("pistachiospan_requests_total")
+                   .Help("Decisions on requests by event and reason")
+                   .Register(this->registry)),
+      latency(prometheus::BuildHistogram()
+                  .Name("pistachiospan_request_seconds")
+                  .Help("Time to the answer of an upstream by route")
+                  .Register(this->registry)),
+      store_reads(prometheus::BuildCounter()
+                      .Name("pistachiospan_store_reads_total")
+                      .Help("Reads of the platform's store by table and outcome")
+                      .Register(this->registry)),
+      gauges(prometheus::BuildGauge()
+                 .Name("pistachiospan_state")
+                 .Help("Present state of the daemon by name")
+                 .Register(this->registry))
+{
+}
+
+prometheus::Histogram& metrics::latency_of(const std::string& route)
+{
+    const bool known = this->by_route.contains(route);
+    const std::string name =
+        known || this->by_route.size() < most_routes ? route : "other";
+    prometheus::Histogram*& made = this->by_route[name];
+    if (made == nullptr)
+        made = &this->latency.Add({{"route", name}}, latency_buckets());
+    return *made;
+}
+
+void metrics::count(const gateway::record& made)
+{
+    this->requests
+        .Add({{"event", std::string(made.event)},
+              {"reason", std::string(gateway::name_of(made.reason))}})
+        .Increment();
+    if (made.event == "answered")
+        this->latency_of(made.route)
+            .Observe(std::chrono::duration<double>(made.elapsed).count());
+}
+
+void metrics::count_store_read(std::string_view table, bool good)
+{
+    this->store_reads
+        .Add({{"table", std::string(table)}, {"outcome", good ? "good" : "failed"}})
+        .Increment();
+}
+
+void metrics::set(const std::string& name, double value)
+{
+    this->gauges.Add({{"name", name}}).Set(value);
+}
+
+std::string metrics::render()
+{
+    return prometheus::TextSerializer().Serialize(this->registry.Collect());
+}
+
+} // namespace pistachiospan::edge::internal
--- /dev/null
+++ b/pistachiospan/fleet/fleet.cpp
@@ -0,0 +1,171 @@
+#include "pistachiospan/fleet/fleet.hpp"
+
+#include <algorithm>
+
+namespace pistachiospan::fleet
+{
+
+std::string encode(const report& from)
+{
+    nlohmann::json demand = nlohmann::json::object();
+    for (const allowance::demand& each : from.demand)
+        demand[each.account] = static_cast<float>(each.rate);
+    const nlohmann::json all = {
+        from.vm.value,       from.started,        from.sequence,
+        from.data_centre,    from.peer_address,   from.caller_address,
+        from.ready,          from.draining,       from.desired_version,
+        from.store_position, std::move(demand)};
+    std::string bytes;
+    nlohmann::json::to_msgpack(all, bytes);
+    return bytes;
+}
+
+result<report> decode(std::string_view bytes)
+{
+    const nlohmann::json all = nlohmann::json::from_msgpack(bytes, true, false);
+    if (!all.is_array() || all.size() != 11)
+        return failure(errc::invalid_argument,
+                       "report of a VM has another shape; run one version on all VMs");
+    try
+    {
+        report made{.vm = {all[0].get<std::string>()},
+                    .started = all[1].get<incarnation>(),
+                    .sequence = all[2].get<std::uint64_t>(),
+                    .data_centre = all[3].get<std::string>(),
+                    .peer_address = all[4].get<std::string>(),
+                    .caller_address = all[5].get<std::string>(),
+                    .ready = all[6].get<bool>(),
+                    .draining = all[7].get<bool>(),
+                    .desired_version = all[8].get<std::uint64_t>(),
+                    .store_position = all[9].get<std::uint64_t>()};
+        for (const auto& [account, rate] : all[10].items())
+            made.demand.push_back({account, rate.get<double>()});
+        return made;
+    }
+    catch (const nlohmann::json::exception& problem)
+    {
+        return failure(errc::invalid_argument,
+                       std::string("report of a VM is malformed: ") + problem.what());
+    }
+}
+
+membership::membership(membership_options options) : options(std::move(options)) {}
+
+void membership::set_self(report own)
+{
+    this->self = std::move(own);
+}
+
+void membership::add_address(const vm_id& vm, const std::string& peer_address)
+{
+    if (vm != this->options.self)
+        this->addresses[vm] = peer_address;
+}
+
+bool membership::is_live(time_point now, const peer& of) const
+{
+    return now - of.heard <= this->options.live_for;
+}
+
+bool membership::observe(time_point now, report said)
+{
+    if (said.vm == this->options.self)
+        return false;
+    const vm_id name = said.vm;
+    const auto known = this->peers.find(name);
+    const bool older =
+        known != this->peers.end() &&
+        std::pair(said.started, said.sequence) <
+            std::pair(known->second.said.started, known->second.said.sequence);
+    if (older)
+        return false;
+    const bool appeared = !this->was_live[name];
+    this->was_live[name] = true;
+    this->addresses[name] = said.peer_address;
+    this->peers[name] = {.said = std::move(said), .heard = now};
+    return appeared;
+}
+
+std::vector<vm_id> membership::expire(time_point now)
+{
+    std::vector<vm_id> silent;
+    for (const auto& [name, each] : this->peers)
+        if (this->was_live[name] && !this->is_live(now, each))
+        {
+            this->was_live[name] = false;
+            silent.push_back(name);
+        }
+    return silent;
+}
+
+std::vector<std::string> membership::peer_addresses() const
+{
+    std::vector<std::string> all;
+    for (const auto& [name, address] : this->addresses)
+        all.push_back(address);
+    return all;
+}
+
+std::size_t membership::live_count(time_point now) const
+{
+    const auto live = std::ranges::count_if(
+        this->peers, [&](const auto& each) { return this->is_live(now, each.second); });
+    return static_cast<std::size_t>(live) + 1;
+}
+
+const peer* membership::best_informed(time_point now) const
+{
+    const peer* best = nullptr;
+    for (const auto& [name, each] : this->peers)
+        if (this->is_live(now, each) &&
+            (best == nullptr || each.said.store_position > best->said.store_position))
+            best = &each;
+    return best;
+}
+
+std::map<std::string, double> membership::remote_demand(time_point now) const
+{
+    std::map<std::string, double> sums;
+    for (const auto& [name, each] : this->peers)
+        if (now - each.heard <= this->options.demand_for)
+            for (const allowance::demand& part : each.said.demand)
+                sums[part.account] += part.rate;
+    return sums;
+}
+
+std::string membership::region_of(const std::string& data_centre) const
+{
+    const auto found = this->options.regions.find(data_centre);
+    return found == this->options.regions.end() ? std::string() : found->second;
+}
+
+std::vector<std::string> membership::addresses_for(time_point now,
+                                                   std::string_view region,
+                                                   std::string_view data_centre) const
+{
+    std::vector<const report*> usable;
+    if (this->self.ready && !this->self.draining)
+        usable.push_back(&this->self);
+    for (const auto& [name, each] : this->peers)
+        if (this->is_live(now, each) && each.said.ready && !each.said.draining)
+            usable.push_back(&each.said);
+    std::vector<std::string> here;
+    std::vector<std::string> near;
+    std::vector<std::string> all;
+    for (const report* each : usable)
+    {
+        all.push_back(each->caller_address);
+        if (this->region_of(each->data_centre) == region)
+            near.push_back(each->caller_address);
+        if (each->data_centre == data_centre)
+            here.push_back(each->caller_address);
+    }
+    // One VM alone leaves its callers without another address when it fails.
+    std::vector<std::string>& chosen =
+        here.size() >= 2 ? here : (near.empty() ? all : near);
+    if (chosen.size() > this->options.most_addresses)
+        chosen.resize(this->options.most_addresses);
+    return chosen;
+}
+
+} // namespace pistachiospan::fleet
--- /dev/null
+++ b/pistachiospan/fleet/fleet.hpp
@@ -0,0 +1,110 @@
+// What the VMs of the system tell each other, and the directory made from it.
+//
+// Example:
+//
+//     membership vms({.self = own_report, .places = places});
+//     vms.observe(now, decode_report(datagram).value());
+//     for (const std::string& address : vms.addresses_for(now, "borneo", "bor-a"))
+//         ...
+//
+// Each VM sends its report to all others in one datagram each interval. Reports are soft
+// state: nothing is agreed on, and a lost one is made good by the next.
+
+#ifndef PISTACHIOSPAN_FLEET_FLEET_HPP
+#define PISTACHIOSPAN_FLEET_FLEET_HPP
+
+#include "pistachiospan/allowance/allowance.hpp"
+#include "pistachiospan/base/base.hpp"
+
+#include <map>
+#include <vector>
+
+namespace pistachiospan::fleet
+{
+
+struct report
+{
+    vm_id vm;
+    incarnation started = 0; // higher for a later process of the same VM
+    std::uint64_t sequence = 0;
+    std::string data_centre;
+    std::string peer_address;   // of its reports, ip:port
+    std::string caller_address; // where callers connect, ip:port
+    bool ready = false;         // serves callers
+    bool draining = false;      // stops soon
+    std::uint64_t desired_version = 0;
+    std::uint64_t store_position = 0; // newest state of the store that it has seen
+    std::vector<allowance::demand> demand;
+};
+
+std::string encode(const report& from);
+// Errors: invalid_argument for bytes that are no report.
+result<report> decode(std::string_view bytes);
+
+struct membership_options
+{
+    vm_id self;
+    std::string data_centre;
+    std::map<std::string, std::string> regions; // data centre to region
+    // A VM without a report for this long is not named to callers.
+    duration live_for = std::chrono::milliseconds(2500);
+    // Its demand counts this long: its callers come back elsewhere, or it is only cut off.
+    duration demand_for = std::chrono::seconds(6);
+    std::size_t most_addresses = 64; // in one directory answer
+};
+
+struct peer
+{
+    report said;
+    time_point heard;
+};
+
+class membership
+{
+public:
+    explicit membership(membership_options options);
+
+    // Own state, for the directory.
+    void set_self(report own);
+    const report& own() const
+    {
+        return this->self;
+    }
+
+    // Addresses of VMs that may not have reported yet (from the store's rows).
+    void add_address(const vm_id& vm, const std::string& peer_address);
+
+    // Returns true for a VM that was not live before. Older reports are ignored.
+    bool observe(time_point now, report said);
+    // VMs that fell silent since the last call.
+    std::vector<vm_id> expire(time_point now);
+
+    // Where to send the own report.
+    std::vector<std::string> peer_addresses() const;
+    // VMs that take requests or may do so, this one included.
+    std::size_t live_count(time_point now) const;
+    // The live peer with the newest view of the store; null without any.
+    const peer* best_informed(time_point now) const;
+
+    // Sum over the other VMs, by account.
+    std::map<std::string, double> remote_demand(time_point now) const;
+
+    // Caller addresses for a caller of this place, best first: the VMs of its region, else
+    // all.
+    std::vector<std::string> addresses_for(time_point now, std::string_view region,
+                                           std::string_view data_centre) const;
+
+private:
+    bool is_live(time_point now, const peer& of) const;
+    std::string region_of(const std::string& data_centre) const;
+
+    membership_options options;
+    report self;
+    std::map<vm_id, peer> peers;
+    std::map<vm_id, std::string> addresses;
+    std::map<vm_id, bool> was_live;
+};
+
+} // namespace pistachiospan::fleet
+
+#endif
--- /dev/null
+++ b/pistachiospan/gateway/gateway.cpp
@@ -0,0 +1,354 @@
+#include "pistachiospan/gateway/gateway.hpp"
+
+#include <algorithm>
+
+namespace pistachiospan::gateway
+{
+
+namespace
+{
+
+constexpr int first_server_error = 500;
+
+upstreams::ending ending_of(const attempt_result& ended)
+{
+    switch (ended.end)
+    {
+    case attempt_end::answered:
+        return ended.status >= first_server_error ? upstreams::ending::failed
+                                                  : upstreams::ending::answered;
+    case attempt_end::not_run:
+        return upstreams::ending::shed;
+    case attempt_end::misdirected:
+        return upstreams::ending::misdirected;
+    case attempt_end::not_sent:
+        return upstreams::ending::not_sent;
+    case attempt_end::broken:
+        return upstreams::ending::broken;
+    case attempt_end::timed_out:
+        return upstreams::ending::broken;
+    }
+    return upstreams::ending::broken;
+}
+
+} // namespace
+
+std::string_view name_of(refusal reason)
+{
+    switch (reason)
+    {
+    case refusal::none:
+        return "none";
+    case refusal::no_desired_state:
+        return "no_desired_state";
+    case refusal::no_route:
+        return "no_route";
+    case refusal::no_key:
+        return "no_key";
+    case refusal::over_allowance:
+        return "over_allowance";
+    case refusal::no_upstream:
+        return "no_upstream";
+    case refusal::too_late:
+        return "too_late";
+    case refusal::upstream_full:
+        return "upstream_full";
+    case refusal::unknown_outcome:
+        return "unknown_outcome";
+    case refusal::deadline:
+        return "deadline";
+    }
+    return "unknown";
+}
+
+gateway::gateway(gateway_options options, gateway_parts parts, gateway_hooks hooks)
+    : options(options), parts(parts), hooks(std::move(hooks))
+{
+}
+
+void gateway::set_desired(time_point now, std::shared_ptr<const desired::state> next)
+{
+    const bool first = this->desired == nullptr;
+    this->desired = std::move(next);
+    this->parts.upstreams.set_services(this->desired->services());
+    this->parts.allowances.set_accounts(now, this->desired->accounts(), !first);
+}
+
+void gateway::set_vm_count(std::size_t count)
+{
+    if (this->vm_count == count)
+        return;
+    this->vm_count = std::max<std::size_t>(count, 1);
+    // The reserve of each policy depends on the count; a new policy begins with an empty
+    // window, which can't exceed the fleet's budget more than a restart does.
+    this->retries.clear();
+}
+
+retry::policy& gateway::policy_of(const std::string& service)
+{
+    const auto known = this->retries.find(service);
+    if (known != this->retries.end())
+        return known->second;
+    const double reserve =
+        this->options.retry_reserve / static_cast<double>(this->vm_count);
+    return this->retries
+        .emplace(service, retry::policy({.fraction = this->options.retry_ratio,
+                                         .at_least = static_cast<std::uint32_t>(reserve),
+                                         .most_attempts = UINT32_MAX,
+                                         .seed = this->options.seed}))
+        .first->second;
+}
+
+void gateway::submit(time_point now, exchange_id exchange, caller_request incoming)
+{
+    ++this->total.submitted;
+    pending made{.request = std::move(incoming), .desired = this->desired, .begun = now};
+    made.deadline = now + made.request.time_left.value_or(this->options.default_time);
+    if (!this->admit(now, exchange, made))
+        return;
+    this->policy_of(made.service).note_request(now);
+    pending& kept = this->requests.emplace(exchange, std::move(made)).first->second;
+    this->dispatch(now, exchange, kept);
+}
+
+// Finds route and account and takes a token. Answers the request itself on refusal.
+bool gateway::admit(time_point now, exchange_id exchange, pending& made)
+{
+    if (!made.desired)
+    {
+        this->refuse(now, exchange, made,
+                     {.reason = refusal::no_desired_state,
+                      .retry_after = this->options.start_retry});
+        return false;
+    }
+    made.route = made.desired->find_route(made.request.host, made.request.path);
+    if (made.route == nullptr)
+    {
+        this->refuse(now, exchange, made, {.reason = refusal::no_route});
+        return false;
+    }
+    made.account = made.desired->find_account(made.request.key);
+    if (made.account == nullptr && !made.route->open)
+    {
+        this->refuse(now, exchange, made, {.reason = refusal::no_key});
+        return false;
+    }
+    if (made.route->timeout > duration(0))
+        made.deadline = std::min(made.deadline, now + made.route->timeout);
+    made.service = desired::choose_target(*made.route, made.request.request_id).service;
+    if (made.account == nullptr)
+        return true;
+    const allowance::admission token = this->parts.allowances.admit(now, made.account->name);
+    if (!token.admitted)
+        this->refuse(now, exchange, made,
+                     {.reason = refusal::over_allowance, .retry_after = token.retry_after});
+    return token.admitted;
+}
+
+double gateway::part_for(const pending& of) const
+{
+    const int priority = of.account != nullptr && of.account->priority > 0
+                             ? of.account->priority
+                             : of.route->priority;
+    const std::size_t last = this->options.admitted_part.size() - 1;
+    const std::size_t at =
+        std::min(last, static_cast<std::size_t>(std::max(priority, 0)));
+    return this->options.admitted_part.at(at);
+}
+
+void gateway::dispatch(time_point now, exchange_id exchange, pending& of)
+{
+    static const std::vector<std::string> nowhere;
+    const duration left = of.deadline - now;
+    const auto part = std::chrono::duration_cast<duration>(left * this->part_for(of));
+    of.chosen = this->parts.upstreams.select(
+        now, {.service = of.service,
+              .object = of.route->sticky ? std::string_view(of.request.object)
+                                         : std::string_view(),
+              .homes = of.route->homes,
+              .more_homes = of.account == nullptr ? nowhere : of.account->homes,
+              .excluded = of.excluded,
+              .time_left = part});
+    if (!of.chosen.found)
+    {
+        const bool late = of.chosen.failure == upstreams::selection_failure::too_late;
+        this->give_up(now, exchange, of, late ? refusal::too_late : refusal::no_upstream,
+                      {});
+        return;
+    }
+    of.upstream = of.chosen.id;
+    of.sent = now;
+    ++of.attempts;
+    ++this->total.attempts;
+    this->parts.upstreams.begin(now, of.upstream);
+    of.call = this->hooks.send(
+        {.exchange = exchange,
+         .upstream = of.upstream,
+         .address = of.chosen.address,
+         .account = of.account == nullptr ? std::string() : of.account->name,
+         .time_left = left,
+         .repeatable = of.route->kind == desired::repeatability::idempotent});
+}
+
+void gateway::finish_attempt(time_point now, exchange_id exchange, call_id call,
+                             attempt_result ended)
+{
+    const auto found = this->requests.find(exchange);
+    if (found == this->requests.end() || found->second.call != call)
+        return;
+    pending& of = found->second;
+    of.call = 0;
+    this->parts.upstreams.end(now, of.upstream, ending_of(ended), now - of.sent,
+                              ended.load);
+    if (ended.cold_left)
+        this->parts.upstreams.note_cold(now, of.upstream, *ended.cold_left);
+    if (of.caller_gone)
+    {
+        this->requests.erase(found);
+        return;
+    }
+    const bool idempotent = of.route->kind == desired::repeatability::idempotent;
+    switch (ended.end)
+    {
+    case attempt_end::answered:
+        if (idempotent && ended.status >= first_server_error &&
+            this->retry(now, exchange, of, false))
+            return;
+        this->deliver(now, exchange, of, ended);
+        return;
+    case attempt_end::not_run:
+    case attempt_end::misdirected:
+        if (!this->retry(now, exchange, of, true))
+            this->give_up(now, exchange, of, refusal::upstream_full, ended.detail);
+        return;
+    case attempt_end::not_sent:
+        --of.attempts;
+        if (++of.unsent > this->options.most_unsent || of.deadline <= now)
+        {
+            this->give_up(now, exchange, of, refusal::no_upstream, ended.detail);
+            return;
+        }
+        of.excluded.push_back(of.upstream);
+        this->report(now, "resent", of, refusal::none, 0, ended.detail);
+        this->dispatch(now, exchange, of);
+        return;
+    case attempt_end::broken:
+        of.may_have_run = true;
+        if (!idempotent || !this->retry(now, exchange, of, false))
+            this->give_up(now, exchange, of, refusal::unknown_outcome, ended.detail);
+        return;
+    case attempt_end::timed_out:
+        of.may_have_run = true;
+        this->give_up(now, exchange, of, refusal::deadline, ended.detail);
+        return;
+    }
+}
+
+// Sends the request to another upstream if route, time and budget allow it.
+bool gateway::retry(time_point now, exchange_id exchange, pending& of, bool not_run)
+{
+    if (of.attempts >= of.route->most_attempts)
+        return false;
+    const retry::decision made = this->policy_of(of.service)
+                                     .after_failure(now, {.idempotent = !not_run,
+                                                          .not_run = not_run,
+                                                          .attempts = of.attempts,
+                                                          .deadline = of.deadline});
+    if (!made.retry)
+        return false;
+    ++this->total.retries;
+    of.excluded.push_back(of.upstream);
+    this->report(now, "retried", of, refusal::none, 0,
+                 not_run ? "not run" : "failed or broken");
+    this->dispatch(now, exchange, of);
+    return true;
+}
+
+void gateway::deliver(time_point now, exchange_id exchange, pending& of,
+                      attempt_result& ended)
+{
+    this->report(now, "answered", of, refusal::none, ended.status, {});
+    this->requests.erase(exchange);
+    this->hooks.deliver(exchange, std::move(ended.answer));
+}
+
+// No upstream answered. Says "not run" if none can have run the request.
+void gateway::give_up(time_point now, exchange_id exchange, const pending& of,
+                      refusal reason, std::string_view detail)
+{
+    refusal_answer answer{.reason = reason, .may_have_run = of.may_have_run};
+    if (of.may_have_run && reason != refusal::deadline)
+        answer.reason = refusal::unknown_outcome;
+    if (!of.may_have_run)
+    {
+        answer.retry_after =
+            std::max(of.chosen.retry_after, this->options.unknown_retry);
+        if (of.account != nullptr)
+            this->parts.allowances.give_back(now, of.account->name);
+    }
+    this->refuse(now, exchange, of, answer, detail);
+}
+
+void gateway::refuse(time_point now, exchange_id exchange, const pending& of,
+                     const refusal_answer& answer, std::string_view detail)
+{
+    this->report(now, "refused", of, answer.reason, 0, detail);
+    this->requests.erase(exchange);
+    this->hooks.refuse(exchange, answer);
+}
+
+// A request that may be repeated is stopped; one that may not runs to its end, since a
+// caller that left can't tell whether it did.
+void gateway::caller_left(time_point now, exchange_id exchange)
+{
+    const auto found = this->requests.find(exchange);
+    if (found == this->requests.end())
+        return;
+    pending& of = found->second;
+    this->report(now, "left", of, refusal::none, 0, {});
+    if (of.route->kind != desired::repeatability::idempotent && of.call != 0)
+    {
+        of.caller_gone = true;
+        return;
+    }
+    if (of.call != 0)
+    {
+        this->hooks.cancel(of.call);
+        this->parts.upstreams.end(now, of.upstream, upstreams::ending::cancelled,
+                                  now - of.sent, std::nullopt);
+    }
+    this->requests.erase(found);
+}
+
+void gateway::report(time_point now, std::string_view event, const pending& of,
+                     refusal reason, int status, std::string_view detail) const
+{
+    if (!this->hooks.report)
+        return;
+    this->hooks.report(
+        {.event = event,
+         .request_id = of.request.request_id,
+         .route = of.route == nullptr ? std::string() : of.route->name,
+         .account = of.account == nullptr ? std::string() : of.account->name,
+         .service = of.service,
+         .upstream = of.upstream,
+         .reason = reason,
+         .status = status,
+         .attempts = of.attempts,
+         .version = of.desired ? of.desired->version() : 0,
+         .elapsed = now - of.begun,
+         .time_left = of.deadline - now,
+         .expected = of.chosen.expected,
+         .load = of.chosen.load,
+         .objective = of.route == nullptr ? duration(0) : of.route->latency_objective,
+         .detail = std::string(detail)});
+}
+
+counts gateway::totals() const
+{
+    counts now = this->total;
+    now.pending = this->requests.size();
+    return now;
+}
+
+} // namespace pistachiospan::gateway
--- /dev/null
+++ b/pistachiospan/gateway/gateway.hpp
@@ -0,0 +1,227 @@
+// Path of one request through one VM: route, key, rate, upstream, retries, answer.
+//
+// Example:
+//
+//     gateway requests({.seed = 1}, {upstreams, allowances}, {.send = send, ...});
+//     requests.set_desired(now, active);
+//     requests.submit(now, exchange, request);
+//     requests.finish_attempt(now, exchange, attempt, result);
+//     requests.caller_left(now, exchange);
+//
+// Each request gets exactly one answer unless its caller leaves. A refusal that says "not
+// run" is true: it is given only when no upstream was sent the request, or each one that
+// was refused it as not run. Holds no sockets and no clocks.
+
+#ifndef PISTACHIOSPAN_GATEWAY_GATEWAY_HPP
+#define PISTACHIOSPAN_GATEWAY_GATEWAY_HPP
+
+#include "pistachiospan/allowance/allowance.hpp"
+#include "pistachiospan/desired/desired.hpp"
+#include "pistachiospan/retry/retry.hpp"
+#include "pistachiospan/upstreams/upstreams.hpp"
+
+#include <any>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace pistachiospan::gateway
+{
+
+using exchange_id = std::uint64_t;
+using call_id = std::uint64_t;
+
+// What decides about a caller's request. Its bytes stay with the owner of the exchange.
+struct caller_request
+{
+    std::string request_id;
+    std::string host;
+    std::string path; // without the query
+    std::string key;  // empty: none was shown
+    std::string object; // names what the request concerns; empty: unknown
+    std::optional<duration> time_left; // as the caller says
+};
+
+// One request to one upstream.
+struct attempt
+{
+    exchange_id exchange = 0;
+    std::string upstream;
+    std::string address;
+    std::string account; // empty on open routes without a key
+    duration time_left{0};
+    bool repeatable = false;
+};
+
+enum class attempt_end
+{
+    answered,    // a whole answer
+    not_run,     // the upstream says that it did not run the request
+    misdirected, // another upstream has the address; not run
+    not_sent,    // no byte was written
+    broken,      // no whole answer: it may have run
+    timed_out,   // as broken, at the end of the attempt's time
+};
+
+struct attempt_result
+{
+    attempt_end end = attempt_end::broken;
+    int status = 0;        // answered
+    std::any answer;       // answered: passed on to hooks::deliver as it is
+    std::string detail;    // what broke
+    std::optional<upstreams::load_report> load;
+    std::optional<duration> cold_left;
+};
+
+// Why a request was refused or given up.
+enum class refusal
+{
+    none,
+    no_desired_state, // this VM has just started
+    no_route,
+    no_key,          // the key is missing or unknown
+    over_allowance,  // the account's rate and burst are used up
+    no_upstream,     // none is usable now
+    too_late,        // the expected answer comes after the deadline
+    upstream_full,   // the upstreams that were asked refused it as not run
+    unknown_outcome, // it may have run
+    deadline,        // no answer in time; it may have run
+};
+
+std::string_view name_of(refusal reason);
+
+struct refusal_answer
+{
+    refusal reason = refusal::none;
+    bool may_have_run = false;
+    duration retry_after{0}; // 0: trying again does not help
+};
+
+// What was decided on one request, for logs and metrics.
+struct record
+{
+    std::string_view event; // "answered", "refused", "retried", "left"
+    std::string request_id;
+    std::string route;
+    std::string account;
+    std::string service;
+    std::string upstream;
+    refusal reason = refusal::none;
+    int status = 0; // of the upstream
+    std::uint32_t attempts = 0;
+    std::uint64_t version = 0; // of the desired state that decided
+    duration elapsed{0};
+    duration time_left{0};
+    duration expected{0}; // completion, when the upstream was chosen
+    double load = 0;      // believed, when the upstream was chosen
+    duration objective{0};
+    std::string detail;
+};
+
+struct gateway_hooks
+{
+    std::function<call_id(const attempt&)> send;
+    std::function<void(call_id)> cancel;
+    std::function<void(exchange_id, std::any answer)> deliver;
+    std::function<void(exchange_id, const refusal_answer&)> refuse;
+    std::function<void(const record&)> report = nullptr;
+};
+
+struct gateway_options
+{
+    duration default_time = std::chrono::seconds(10); // without route timeout and deadline
+    double retry_ratio = 0.15;  // retries of a service for each of its requests
+    double retry_reserve = 30;  // retries in each window without regard to the ratio, for
+                                // all VMs together
+    // Part of the time left within which an answer must be expected, by priority: under
+    // overload the less urgent requests give way first.
+    std::array<double, 3> admitted_part = {1.0, 0.9, 0.75};
+    // Failed connections do not reach an upstream; bounds the search for one that answers.
+    std::uint32_t most_unsent = 3;
+    duration unknown_retry = std::chrono::milliseconds(200); // after a full upstream
+    duration start_retry = std::chrono::milliseconds(300);   // without a desired state
+    std::uint64_t seed = 0;
+};
+
+// They outlive the gateway.
+struct gateway_parts
+{
+    upstreams::upstream_set& upstreams;
+    allowance::ledger& allowances;
+};
+
+struct counts
+{
+    std::uint64_t submitted = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t retries = 0;
+    std::size_t pending = 0;
+};
+
+class gateway
+{
+public:
+    gateway(gateway_options options, gateway_parts parts, gateway_hooks hooks);
+
+    void set_desired(time_point now, std::shared_ptr<const desired::state> next);
+    const desired::state* active() const
+    {
+        return this->desired.get();
+    }
+    // VMs that share the retry reserve, this one included.
+    void set_vm_count(std::size_t count);
+
+    void submit(time_point now, exchange_id exchange, caller_request incoming);
+    void finish_attempt(time_point now, exchange_id exchange, call_id call,
+                        attempt_result ended);
+    void caller_left(time_point now, exchange_id exchange);
+
+    counts totals() const;
+
+private:
+    struct pending
+    {
+        caller_request request;
+        std::shared_ptr<const desired::state> desired;
+        const desired::route* route = nullptr;
+        const desired::account* account = nullptr;
+        std::string service;
+        time_point begun;
+        time_point deadline;
+        std::uint32_t attempts = 0; // sent
+        std::uint32_t unsent = 0;
+        std::vector<std::string> excluded;
+        std::string upstream;
+        time_point sent;
+        call_id call = 0;
+        bool may_have_run = false;
+        upstreams::selection chosen;
+        bool caller_gone = false;
+    };
+
+    bool admit(time_point now, exchange_id exchange, pending& made);
+    void dispatch(time_point now, exchange_id exchange, pending& of);
+    bool retry(time_point now, exchange_id exchange, pending& of, bool not_run);
+    void deliver(time_point now, exchange_id exchange, pending& of, attempt_result& ended);
+    void refuse(time_point now, exchange_id exchange, const pending& of,
+                const refusal_answer& answer, std::string_view detail = {});
+    void give_up(time_point now, exchange_id exchange, const pending& of,
+                 refusal reason, std::string_view detail);
+    void report(time_point now, std::string_view event, const pending& of,
+                refusal reason, int status, std::string_view detail) const;
+    retry::policy& policy_of(const std::string& service);
+    double part_for(const pending& of) const;
+
+    gateway_options options;
+    gateway_parts parts;
+    gateway_hooks hooks;
+    std::shared_ptr<const desired::state> desired;
+    std::unordered_map<exchange_id, pending> requests;
+    std::map<std::string, retry::policy> retries;
+    std::size_t vm_count = 1;
+    counts total;
+};
+
+} // namespace pistachiospan::gateway
+
+#endif
--- /dev/null
+++ b/pistachiospan/http1/headers.cpp
@@ -0,0 +1,53 @@
+#include "pistachiospan/http1/http1.hpp"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace pistachiospan::http1
+{
+
+bool equal_names(std::string_view left, std::string_view right)
+{
+    const auto lower = [](char letter)
+    {
+        const bool upper = letter >= 'A' && letter <= 'Z';
+        return upper ? static_cast<char>(letter - 'A' + 'a') : letter;
+    };
+    return std::ranges::equal(left, right, {}, lower, lower);
+}
+
+const std::string* find_header(const header_list& headers, std::string_view name)
+{
+    for (const header& each : headers)
+        if (equal_names(each.name, name))
+            return &each.value;
+    return nullptr;
+}
+
+bool is_connection_header(const header_list& all, std::string_view name)
+{
+    static constexpr std::array<std::string_view, 9> fixed = {
+        "Connection", "Keep-Alive",        "Transfer-Encoding",
+        "TE",         "Trailer",           "Upgrade",
+        "Expect",     "Proxy-Connection", "Content-Length"};
+    if (std::ranges::any_of(fixed, [&](std::string_view each)
+                            { return equal_names(each, name); }))
+        return true;
+    for (const header& each : all)
+    {
+        if (!equal_names(each.name, "Connection"))
+            continue;
+        std::vector<std::string> named;
+        boost::algorithm::split(named, each.value, [](char c) { return c == ','; });
+        for (std::string& token : named)
+            if (equal_names(boost::algorithm::trim_copy(token), name))
+                return true;
+    }
+    return false;
+}
+
+} // namespace pistachiospan::http1
--- /dev/null
+++ b/pistachiospan/mirror/mirror.hpp
@@ -0,0 +1,102 @@
+// A VM's copy of one table of the platform's store, and the rules by which it follows it.
+//
+// Example:
+//
+//     table_mirror servers({}, {.changed = on_row, .removed = on_removed});
+//     servers.apply_whole(now, all_rows);
+//     servers.apply_changes(now, feed_rows);
+//     servers.note_outage(now);     // the store did not answer
+//     servers.tick(now);
+//
+// The copy only moves forward: a page that is older than the copy changes nothing, whether
+// it comes from the store or from another VM.
+
+#ifndef PISTACHIOSPAN_MIRROR_MIRROR_HPP
+#define PISTACHIOSPAN_MIRROR_MIRROR_HPP
+
+#include "pistachiospan/base/base.hpp"
+
+#include <map>
+#include <vector>
+
+namespace pistachiospan::mirror
+{
+
+struct row
+{
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0;
+    bool deleted = false;
+};
+
+// Rows as of one moment. `position` is the store's newest version then.
+struct page
+{
+    std::vector<row> rows;
+    std::uint64_t position = 0;
+};
+
+std::string encode(const page& from);
+// Errors: invalid_argument for bytes that are no page.
+result<page> decode(std::string_view bytes);
+
+struct mirror_options
+{
+    // After an outage, rows that expired in it are written again by their owners. A row
+    // removed in the outage is believed gone only when this time has passed since the
+    // store's return. 0: removals hold at once.
+    duration removal_grace{0};
+    // Failed reads for this long are an outage.
+    duration outage_after = std::chrono::seconds(1);
+};
+
+struct mirror_hooks
+{
+    std::function<void(const row&)> changed;
+    std::function<void(const std::string& key)> removed;
+};
+
+class table_mirror
+{
+public:
+    table_mirror(mirror_options options, mirror_hooks hooks);
+
+    // All rows of the table. Rows that are missing from it are removed.
+    void apply_whole(time_point now, const page& all);
+    // The rows that changed after position().
+    void apply_changes(time_point now, const page& changes);
+
+    // A read failed. The next successful one ends the outage.
+    void note_outage(time_point now);
+    // Removes the rows whose grace has ended.
+    void tick(time_point now);
+
+    bool loaded() const
+    {
+        return this->newest != 0;
+    }
+    std::uint64_t position() const
+    {
+        return this->newest;
+    }
+    page whole() const;
+
+private:
+    void set(const row& given);
+    void remove(time_point now, const std::string& key);
+    void end_outage(time_point now);
+
+    mirror_options options;
+    mirror_hooks hooks;
+    std::map<std::string, row> rows;
+    std::map<std::string, time_point> doomed; // removed, and until when they are kept
+    std::uint64_t newest = 0;
+    bool failing = false;
+    time_point failing_since;
+    time_point grace_until;
+};
+
+} // namespace pistachiospan::mirror
+
+#endif
--- /dev/null
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -0,0 +1,251 @@
+// The upstreams that one VM knows, and the choice of one for each request.
+//
+// Example:
+//
+//     upstream_set known({.data_centre = "sem-a"}, places);
+//     known.update(now, {.id = "i-7f", .service = "orders", .address = "10.2.0.9:80", ...});
+//     const selection made = known.select(now, {.service = "orders", .object = "17", ...});
+//     if (made.found)
+//         known.begin(now, made.id);
+//     known.end(now, made.id, ending::answered, latency, report);
+//
+// A request for an object goes to the same upstream from every VM of a data centre, because
+// an upstream is several times faster with objects that it handled recently. Two steps
+// decide, both without asking anybody: the placement plan gives each data centre of callers
+// its data centres of upstreams, by their slots; a weighted rendezvous hash gives the
+// object its upstream there. Expected completion times then decide whether that upstream
+// is used or another one.
+
+#ifndef PISTACHIOSPAN_UPSTREAMS_UPSTREAMS_HPP
+#define PISTACHIOSPAN_UPSTREAMS_UPSTREAMS_HPP
+
+#include "pistachiospan/desired/desired.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace pistachiospan::upstreams
+{
+
+// What the registry says about one upstream.
+struct entry
+{
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string data_centre;
+    std::uint32_t slots = 1;
+    bool draining = false;
+    duration cold_left{0};     // how much longer it is cold
+    std::int64_t started = 0;  // identifies one start of the upstream
+    bool operator==(const entry&) const = default;
+};
+
+// Data centre to region.
+using places = std::map<std::string, std::string>;
+
+// Requests at the upstream from all its callers, as its last answer said.
+struct load_report
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+enum class ending
+{
+    answered,
+    shed,      // refused as not run
+    failed,    // an answer that reports a failure of the upstream
+    broken,    // no whole answer
+    not_sent,  // no connection
+    cancelled, // ended by this VM
+    misdirected, // another upstream has the address
+};
+
+struct set_options
+{
+    std::string data_centre;                                // of this VM
+    duration initial_service = std::chrono::milliseconds(200); // before the first answer
+    double service_weight = 0.15;      // of one answer in the average service time
+    // Without answers the average returns to the mean of the service in this time, so
+    // that an upstream that was slow is tried again.
+    duration service_memory = std::chrono::seconds(4);
+    // Requests of other VMs in a report count less and less over this time.
+    duration report_memory = std::chrono::milliseconds(400);
+    // Work on an object that the upstream does not know, relative to one that it knows.
+    double unknown_object_factor = 2.5;
+    double cold_factor = 2.0; // service time of a cold upstream
+    duration between_regions = std::chrono::milliseconds(24); // both ways
+    duration between_data_centres = std::chrono::milliseconds(3);
+    // Slots in the plan for each slot that is expected to be busy.
+    double plan_headroom = 1.6;
+    // Time in which an evacuated data centre gives up its requests, and in which a
+    // returned one gets them: regions must not change their load at once.
+    duration evacuation_ramp = std::chrono::milliseconds(3500);
+    duration return_ramp = std::chrono::seconds(6);
+    duration first_ejection = std::chrono::milliseconds(700); // doubles up to the longest
+    duration longest_ejection = std::chrono::seconds(6);
+    std::uint32_t failures_before_ejection = 3; // answers that report a failure, in a row
+    // Silence after which an upstream with requests is passed over.
+    duration stall = std::chrono::milliseconds(450);
+    // Part of the fleet's rate for a cold upstream that this VM uses at most.
+    double cold_rate_margin = 0.9;
+};
+
+struct query
+{
+    std::string_view service;
+    std::string_view object; // empty: any upstream is as good
+    std::span<const std::string> homes; // regions allowed; empty: all
+    std::span<const std::string> more_homes; // both lists bind
+    std::span<const std::string> excluded; // upstream ids
+    duration time_left{0};
+};
+
+enum class selection_failure
+{
+    none,
+    no_upstream, // none is known, or all are excluded, leaving or ejected
+    too_late,    // the expected completion is after the time left
+};
+
+struct selection
+{
+    bool found = false;
+    std::string id;
+    std::string address;
+    duration expected{0}; // completion, from now
+    double load = 0;      // requests believed to be at the upstream
+    selection_failure failure = selection_failure::none;
+    duration retry_after{0}; // not found: when room is expected
+};
+
+// For metrics and logs.
+struct upstream_view
+{
+    std::string id;
+    std::string service;
+    std::uint32_t in_flight = 0;
+    double load = 0;
+    bool draining = false;
+    bool ejected = false;
+    bool cold = false;
+    duration service_time{0};
+};
+
+class upstream_set
+{
+public:
+    upstream_set(set_options options, places where);
+
+    // Adds or replaces. Returns what changed, for the log; empty: nothing that matters.
+    std::string update(time_point now, const entry& said);
+    // Returns true if it was known.
+    bool remove(std::string_view id);
+    // Drops all that aren't in `ids`; for a full read of the registry.
+    void retain(const std::set<std::string>& ids);
+
+    void set_services(std::span<const desired::service> services);
+    // VMs that may send to the same upstreams, this one included.
+    void set_vm_count(std::size_t count);
+
+    // The data centres whose upstreams are to get nothing. With `at_once` there is no
+    // ramp: this VM has just started.
+    void set_evacuated(time_point now, const std::set<std::string>& all, bool at_once);
+
+    selection select(time_point now, const query& wanted);
+
+    // A request was sent. Each begin() is followed by one end().
+    void begin(time_point now, std::string_view id);
+    void end(time_point now, std::string_view id, ending how, duration latency,
+             std::optional<load_report> report);
+    void note_cold(time_point now, std::string_view id, duration cold_left);
+
+    std::size_t size() const;
+    std::vector<upstream_view> views(time_point now) const;
+    // Parts of this VM's requests for a service, by data centre of the upstreams.
+    std::map<std::string, double> plan_of(time_point now, std::string_view service);
+
+private:
+    struct upstream
+    {
+        entry said;
+        std::string region;
+        std::uint64_t hash = 0;
+        std::uint32_t in_flight = 0;
+        std::deque<time_point> begun; // of the requests in flight, oldest first
+        time_point last_answer;
+        double others = 0; // requests of other VMs at the last report
+        time_point reported;
+        double service_time = 0; // microseconds, average
+        time_point sampled;
+        std::uint32_t failures = 0;  // in a row
+        std::uint32_t ejections = 0; // in a row
+        time_point ejected_until;
+        time_point cold_until;
+        double cold_tokens = 1;
+        time_point cold_refilled;
+    };
+
+    struct service_group
+    {
+        std::vector<upstream*> members;
+        double service_time = 0; // microseconds, average over all
+        duration cold_time{0};
+        double cold_rate = 0;
+        std::map<std::string, double> plan; // data centre to its part, ordered
+        std::vector<std::string> plan_order;
+        bool plan_valid = false;
+    };
+
+    struct candidate
+    {
+        upstream* at = nullptr;
+        int tier = 0;     // 0: data centre of the plan
+        double score = 0; // of the rendezvous hash
+        double expected = 0;
+    };
+
+    struct evacuation
+    {
+        time_point since;
+        bool leaving = true;
+        bool at_once = false;
+    };
+
+    upstream* find(std::string_view id);
+    double load_of(time_point now, const upstream& of) const;
+    double service_time_of(time_point now, const upstream& of,
+                           const service_group& group) const;
+    double expected_time(time_point now, const candidate& of, std::size_t rank,
+                         const service_group& group) const;
+    bool usable(time_point now, const upstream& of, const query& wanted,
+                std::uint64_t object_hash);
+    bool stalled(time_point now, const upstream& of, const service_group& group) const;
+    bool take_cold_token(time_point now, upstream& of, const service_group& group);
+    bool has_cold_token(time_point now, upstream& of, const service_group& group);
+    double presence(time_point now, const std::string& data_centre) const;
+    void make_plan(time_point now, service_group& group);
+    const std::string* planned(const service_group& group, std::uint64_t object_hash) const;
+    int tier_of(const upstream& of, const std::string* planned) const;
+    bool in_homes(const upstream& of, std::span<const std::string> homes) const;
+    void eject(time_point now, upstream& of);
+    void forget_plans();
+
+    set_options options;
+    places where;
+    std::string region; // of this VM
+    std::size_t vm_count = 1;
+    std::unordered_map<std::string, std::unique_ptr<upstream>> all;
+    std::unordered_map<std::string, service_group> groups;
+    std::map<std::string, evacuation> evacuated;
+    std::uint64_t spread = 0; // numbers the requests without an object
+};
+
+} // namespace pistachiospan::upstreams
+
+#endif
