--- a/pistachiospan/allowance/allowance.cpp
+++ b/pistachiospan/allowance/allowance.cpp
@@ -60,22 +60,23 @@
     this->vm_count = std::max<std::size_t>(count, 1);
 }
 
-void ledger::set_remote_demand(time_point now, std::string_view account, double rate)
+void ledger::set_remote(time_point now, std::string_view account, remote_share others)
 {
     const auto found = this->buckets.find(std::string(account));
     if (found == this->buckets.end())
         return;
     this->refill(now, found->second);
-    found->second.remote = std::max(rate, 0.0);
+    found->second.others = others;
 }
 
 double ledger::part(const bucket& of) const
 {
     const double least = of.rate * this->options.least_demand;
-    const double own = of.demand + least;
+    const double own = of.told + least;
     const double others =
-        of.remote + least * static_cast<double>(this->vm_count - 1);
-    return own / (own + others);
+        of.others.demand + least * static_cast<double>(this->vm_count - 1);
+    const double free = std::max(0.0, 1 - of.others.reserved);
+    return free * own / (own + others);
 }
 
 double ledger::capacity(const bucket& of) const
@@ -113,7 +114,8 @@
         of.tokens -= 1;
         return {.admitted = true};
     }
-    const double rate = of.rate * this->part(of);
+    // A VM whose part is nothing waits for the others to be heard again.
+    const double rate = std::max(of.rate * this->part(of), least_reported);
     return {.retry_after = from_seconds((1 - of.tokens) / rate)};
 }
 
@@ -127,14 +129,16 @@
         std::min(found->second.tokens + 1, this->capacity(found->second));
 }
 
-std::vector<demand> ledger::local_demand(time_point now)
+std::vector<demand> ledger::report_demand(time_point now)
 {
     std::vector<demand> all;
     for (auto& [name, each] : this->buckets)
     {
+        this->refill(now, each);
         this->decay(now, each);
-        if (each.demand >= least_reported)
-            all.push_back({name, each.demand});
+        each.told = each.demand;
+        if (each.told >= least_reported)
+            all.push_back({.account = name, .rate = each.told, .part = this->part(each)});
     }
     return all;
 }
--- a/pistachiospan/allowance/allowance.hpp
+++ b/pistachiospan/allowance/allowance.hpp
@@ -12,8 +12,8 @@
 //
 // Each VM holds a token bucket of (rate * part, burst * part), where part is its share of
 // the known demand. The parts of VMs with the same reports sum to one. Reports lag, so the
-// sum may exceed the limit while demand moves between VMs; a bucket never refills above
-// its present capacity, which bounds the excess by one burst for each move.
+// sum may exceed the limit while demand moves between VMs. A VM that falls silent keeps the
+// part that it had: it may be cut off and still admit requests, and it reckons the same way.
 
 #ifndef PISTACHIOSPAN_ALLOWANCE_ALLOWANCE_HPP
 #define PISTACHIOSPAN_ALLOWANCE_ALLOWANCE_HPP
@@ -47,6 +47,14 @@
 {
     std::string account;
     double rate = 0; // requests per second, admitted or not
+    double part = 0; // of the account's limit that the VM uses
+};
+
+// What the other VMs said of one account.
+struct remote_share
+{
+    double demand = 0;   // requests per second at the VMs that are heard
+    double reserved = 0; // parts of the VMs that have fallen silent
 };
 
 class ledger
@@ -59,18 +67,19 @@
     void set_accounts(time_point now, std::span<const desired::account> accounts,
                       bool fresh);
 
-    // Number of VMs that may take requests, this one included.
+    // Number of VMs that are heard, this one included.
     void set_vm_count(std::size_t count);
-    // Demand at all other VMs together.
-    void set_remote_demand(time_point now, std::string_view account, double rate);
+    // To be called with each change of what is known, and after each report.
+    void set_remote(time_point now, std::string_view account, remote_share others);
 
     // Counts the request as demand and takes a token if there is one.
     admission admit(time_point now, std::string_view account);
     // The request was not run after all: gives its token back.
     void give_back(time_point now, std::string_view account);
 
-    // This VM's demand, for the other VMs. Accounts without any are left out.
-    std::vector<demand> local_demand(time_point now);
+    // This VM's demand, for the other VMs. Accounts without any are left out. The parts are
+    // reckoned with the demand told last, so that all VMs use the same figures.
+    std::vector<demand> report_demand(time_point now);
 
     // This VM's part of the account, 0 to 1.
     double part_of(std::string_view account) const;
@@ -82,7 +91,8 @@
         double burst = 0;
         double tokens = 0;
         double demand = 0; // requests per second
-        double remote = 0;
+        double told = 0;   // demand in the last report
+        remote_share others;
         time_point refilled;
         time_point decayed;
     };
--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -36,10 +36,9 @@
 // Part of the memory for bodies that wait for their answer.
 constexpr std::size_t body_memory_divisor = 4;
 
-// Registry reads share changes: upstreams write every second or two, and a leaving one may
-// get requests for some seconds.
-constexpr duration upstream_pace = std::chrono::milliseconds(700);
-constexpr duration removal_grace = std::chrono::milliseconds(2500);
+// Changes of the registry that come close together share one read.
+constexpr duration upstream_pace = std::chrono::milliseconds(200);
+constexpr duration removal_grace = std::chrono::milliseconds(2100);
 
 // A kept connection that idled longer may already be closed by the upstream, and a request
 // that must not be repeated would be lost with it.
@@ -285,7 +284,7 @@
         made.event == "answered" && !late && made.attempts == 1 && made.status < 500;
     if (routine && ++this->answers % answer_sample != 0)
         return;
-    this->log(routine || !late ? made.event : "answered_late",
+    this->log(late && made.event == "answered" ? "answered_late" : made.event,
               {{"id", made.request_id},
                {"route", made.route},
                {"account", made.account},
@@ -413,7 +412,8 @@
                       .desired_version = active == nullptr ? 0 : active->version(),
                       .store_position = std::max(this->registry.position(),
                                                  this->operator_rows.position()),
-                      .demand = this->allowances.local_demand(now)};
+                      .demand = this->allowances.report_demand(now),
+                      .services = this->known_upstreams.local_demand(now)};
     this->vms.set_self(own);
     const std::vector<std::string> addresses = this->vms.peer_addresses();
     this->peers.send(fleet::encode(own), addresses);
@@ -474,8 +474,10 @@
                 return;
             }
             const internal::peer_tables& tables = given.value();
-            this->operator_rows.apply_whole(monotonic_now(), tables.operator_rows);
-            this->registry.apply_whole(monotonic_now(), tables.upstreams);
+            this->operator_rows.apply_whole(monotonic_now(), tables.operator_rows,
+                                            mirror::origin::peer);
+            this->registry.apply_whole(monotonic_now(), tables.upstreams,
+                                       mirror::origin::peer);
             this->log("peer_tables",
                       {{"peer", name}, {"position", tables.upstreams.position}});
         });
@@ -486,19 +488,23 @@
     const desired::state* active = this->requests.active();
     if (active == nullptr)
         return;
-    const std::map<std::string, double> remote = this->vms.remote_demand(now);
+    const std::map<std::string, allowance::remote_share> remote =
+        this->vms.remote_shares(now);
+    this->allowances.set_vm_count(this->vms.live_count(now));
     for (const desired::account& each : active->accounts())
     {
         const auto found = remote.find(each.name);
-        this->allowances.set_remote_demand(now, each.name,
-                                           found == remote.end() ? 0 : found->second);
+        this->allowances.set_remote(now, each.name,
+                                    found == remote.end() ? allowance::remote_share()
+                                                          : found->second);
     }
+    this->known_upstreams.set_remote_demand(this->vms.service_demand(now));
+    this->known_upstreams.tick(now);
 }
 
 void edge_daemon::implementation::apply_vm_count()
 {
-    const std::size_t count = this->vms.peer_addresses().size() + 1;
-    this->allowances.set_vm_count(count);
+    const std::size_t count = this->vms.known_count();
     this->known_upstreams.set_vm_count(count);
     this->requests.set_vm_count(count);
 }
--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -25,8 +25,9 @@
     if (whole)
         this->store.read_whole(this->options.followed, done);
     else
+        // After a failure the store is not to wait for a change: its answer alone is news.
         this->store.read_changes(this->options.followed, this->copy.position(),
-                                 this->options.wait, done);
+                                 this->in_reach ? this->options.wait : duration(0), done);
 }
 
 void follower::finish(std::uint64_t number, const result<mirror::page>& outcome,
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -17,7 +17,7 @@
     // Time for which the store holds a read without changes.
     duration wait = std::chrono::seconds(2);
     duration first_backoff = std::chrono::milliseconds(200); // doubles up to the longest
-    duration longest_backoff = std::chrono::milliseconds(800);
+    duration longest_backoff = std::chrono::milliseconds(400);
 };
 
 struct follower_hooks
--- a/pistachiospan/fleet/fleet.cpp
+++ b/pistachiospan/fleet/fleet.cpp
@@ -5,16 +5,27 @@
 namespace pistachiospan::fleet
 {
 
+namespace
+{
+
+constexpr std::size_t report_fields = 12;
+
+} // namespace
+
 std::string encode(const report& from)
 {
     nlohmann::json demand = nlohmann::json::object();
     for (const allowance::demand& each : from.demand)
-        demand[each.account] = static_cast<float>(each.rate);
+        demand[each.account] = {static_cast<float>(each.rate),
+                                static_cast<float>(each.part)};
+    nlohmann::json services = nlohmann::json::object();
+    for (const upstreams::service_demand& each : from.services)
+        services[each.service] = static_cast<float>(each.rate);
     const nlohmann::json all = {
         from.vm.value,       from.started,        from.sequence,
         from.data_centre,    from.peer_address,   from.caller_address,
         from.ready,          from.draining,       from.desired_version,
-        from.store_position, std::move(demand)};
+        from.store_position, std::move(demand),   std::move(services)};
     std::string bytes;
     nlohmann::json::to_msgpack(all, bytes);
     return bytes;
@@ -23,7 +34,7 @@
 result<report> decode(std::string_view bytes)
 {
     const nlohmann::json all = nlohmann::json::from_msgpack(bytes, true, false);
-    if (!all.is_array() || all.size() != 11)
+    if (!all.is_array() || all.size() != report_fields)
         return failure(errc::invalid_argument,
                        "report of a VM has another shape; run one version on all VMs");
     try
@@ -38,8 +49,12 @@
                     .draining = all[7].get<bool>(),
                     .desired_version = all[8].get<std::uint64_t>(),
                     .store_position = all[9].get<std::uint64_t>()};
-        for (const auto& [account, rate] : all[10].items())
-            made.demand.push_back({account, rate.get<double>()});
+        for (const auto& [account, figures] : all[10].items())
+            made.demand.push_back({.account = account,
+                                   .rate = figures.at(0).get<double>(),
+                                   .part = figures.at(1).get<double>()});
+        for (const auto& [service, rate] : all[11].items())
+            made.services.push_back({.service = service, .rate = rate.get<double>()});
         return made;
     }
     catch (const nlohmann::json::exception& problem)
@@ -123,13 +138,40 @@
     return best;
 }
 
-std::map<std::string, double> membership::remote_demand(time_point now) const
+std::size_t membership::known_count() const
+{
+    return this->addresses.size() + 1;
+}
+
+std::map<std::string, allowance::remote_share>
+membership::remote_shares(time_point now) const
+{
+    std::map<std::string, allowance::remote_share> shares;
+    for (const auto& [name, each] : this->peers)
+    {
+        const bool live = this->is_live(now, each);
+        const bool reserved = !live && !each.said.draining &&
+                              now - each.heard <= this->options.reserved_for;
+        for (const allowance::demand& part : each.said.demand)
+        {
+            allowance::remote_share& sum = shares[part.account];
+            if (live)
+                sum.demand += part.rate;
+            else if (reserved)
+                sum.reserved += part.part;
+        }
+    }
+    return shares;
+}
+
+std::map<std::string, std::map<std::string, double>>
+membership::service_demand(time_point now) const
 {
-    std::map<std::string, double> sums;
+    std::map<std::string, std::map<std::string, double>> sums;
     for (const auto& [name, each] : this->peers)
-        if (now - each.heard <= this->options.demand_for)
-            for (const allowance::demand& part : each.said.demand)
-                sums[part.account] += part.rate;
+        if (this->is_live(now, each))
+            for (const upstreams::service_demand& part : each.said.services)
+                sums[part.service][each.said.data_centre] += part.rate;
     return sums;
 }
 
--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -15,6 +15,7 @@
 
 #include "pistachiospan/allowance/allowance.hpp"
 #include "pistachiospan/base/base.hpp"
+#include "pistachiospan/upstreams/upstreams.hpp"
 
 #include <map>
 #include <vector>
@@ -34,7 +35,8 @@
     bool draining = false;      // stops soon
     std::uint64_t desired_version = 0;
     std::uint64_t store_position = 0; // newest state of the store that it has seen
-    std::vector<allowance::demand> demand;
+    std::vector<allowance::demand> demand;             // by client account
+    std::vector<upstreams::service_demand> services;   // by service
 };
 
 std::string encode(const report& from);
@@ -48,8 +50,9 @@
     std::map<std::string, std::string> regions; // data centre to region
     // A VM without a report for this long is not named to callers.
     duration live_for = std::chrono::milliseconds(2500);
-    // Its demand counts this long: its callers come back elsewhere, or it is only cut off.
-    duration demand_for = std::chrono::seconds(6);
+    // A silent VM may be cut off and still take requests, so its parts of the allowances
+    // stay reserved this long. One that said that it stops does not keep them.
+    duration reserved_for = std::chrono::seconds(120);
     std::size_t most_addresses = 64; // in one directory answer
 };
 
@@ -81,13 +84,18 @@
 
     // Where to send the own report.
     std::vector<std::string> peer_addresses() const;
-    // VMs that take requests or may do so, this one included.
+    // VMs that are heard, this one included.
     std::size_t live_count(time_point now) const;
+    // VMs that take requests or may do so, this one included.
+    std::size_t known_count() const;
     // The live peer with the newest view of the store; null without any.
     const peer* best_informed(time_point now) const;
 
-    // Sum over the other VMs, by account.
-    std::map<std::string, double> remote_demand(time_point now) const;
+    // What the other VMs said, by client account.
+    std::map<std::string, allowance::remote_share> remote_shares(time_point now) const;
+    // Requests per second at the other live VMs, by service, then by data centre.
+    std::map<std::string, std::map<std::string, double>>
+    service_demand(time_point now) const;
 
     // Caller addresses for a caller of this place, best first: the VMs of its region, else
     // all.
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -26,7 +26,7 @@
     case attempt_end::broken:
         return upstreams::ending::broken;
     case attempt_end::timed_out:
-        return upstreams::ending::broken;
+        return upstreams::ending::silent;
     }
     return upstreams::ending::broken;
 }
@@ -168,7 +168,9 @@
               .homes = of.route->homes,
               .more_homes = of.account == nullptr ? nowhere : of.account->homes,
               .excluded = of.excluded,
-              .time_left = part});
+              .time_left = part,
+              .body_size = of.request.body_size,
+              .retry = of.attempts > 0 || of.unsent > 0});
     if (!of.chosen.found)
     {
         const bool late = of.chosen.failure == upstreams::selection_failure::too_late;
@@ -180,7 +182,7 @@
     of.sent = now;
     ++of.attempts;
     ++this->total.attempts;
-    this->parts.upstreams.begin(now, of.upstream);
+    this->parts.upstreams.begin(now, of.chosen);
     of.call = this->hooks.send(
         {.exchange = exchange,
          .upstream = of.upstream,
@@ -198,7 +200,7 @@
         return;
     pending& of = found->second;
     of.call = 0;
-    this->parts.upstreams.end(now, of.upstream, ending_of(ended), now - of.sent,
+    this->parts.upstreams.end(now, of.chosen, ending_of(ended), now - of.sent,
                               ended.load);
     if (ended.cold_left)
         this->parts.upstreams.note_cold(now, of.upstream, *ended.cold_left);
@@ -314,7 +316,7 @@
     if (of.call != 0)
     {
         this->hooks.cancel(of.call);
-        this->parts.upstreams.end(now, of.upstream, upstreams::ending::cancelled,
+        this->parts.upstreams.end(now, of.chosen, upstreams::ending::cancelled,
                                   now - of.sent, std::nullopt);
     }
     this->requests.erase(found);
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -39,6 +39,7 @@
     std::string path; // without the query
     std::string key;  // empty: none was shown
     std::string object; // names what the request concerns; empty: unknown
+    std::size_t body_size = 0;         // bytes
     std::optional<duration> time_left; // as the caller says
 };
 
--- a/pistachiospan/mirror/mirror.cpp
+++ b/pistachiospan/mirror/mirror.cpp
@@ -55,34 +55,31 @@
     this->hooks.changed(given);
 }
 
-void table_mirror::remove(time_point now, const std::string& key)
+void table_mirror::remove(const std::string& key)
 {
-    if (!this->rows.contains(key))
-        return;
-    if (now < this->grace_until)
-    {
-        this->doomed.emplace(key, this->grace_until);
-        return;
-    }
     this->doomed.erase(key);
-    this->rows.erase(key);
-    this->hooks.removed(key);
+    if (this->rows.erase(key) > 0)
+        this->hooks.removed(key);
 }
 
-void table_mirror::end_outage(time_point now)
+void table_mirror::remove_later(time_point now, const std::string& key)
 {
-    if (!this->failing)
-        return;
-    this->failing = false;
-    if (now - this->failing_since >= this->options.outage_after)
-        this->grace_until = now + this->options.removal_grace;
+    if (this->rows.contains(key))
+        this->doomed.emplace(key, now + this->options.removal_grace);
 }
 
-void table_mirror::apply_whole(time_point now, const page& all)
+// Returns true if the read that has just succeeded is the first after an outage.
+bool table_mirror::end_outage(time_point now)
+{
+    const bool failed = std::exchange(this->failing, false);
+    return failed && now - this->failing_since >= this->options.outage_after;
+}
+
+void table_mirror::apply_whole(time_point now, const page& all, origin from)
 {
     if (all.position < this->newest)
         return;
-    this->end_outage(now);
+    const bool after_outage = from == origin::store && this->end_outage(now);
     std::set<std::string> present;
     for (const row& each : all.rows)
     {
@@ -94,7 +91,12 @@
         if (!present.contains(key))
             missing.push_back(key);
     for (const std::string& key : missing)
-        this->remove(now, key);
+    {
+        if (after_outage)
+            this->remove_later(now, key);
+        else
+            this->remove(key);
+    }
     this->newest = all.position;
 }
 
@@ -102,17 +104,19 @@
 {
     if (changes.position < this->newest)
         return;
-    this->end_outage(now);
+    const bool after_outage = this->end_outage(now);
     for (const row& each : changes.rows)
     {
         const auto known = this->rows.find(each.key);
         const bool older = known != this->rows.end() && known->second.version > each.version;
         if (older)
             continue;
-        if (each.deleted)
-            this->remove(now, each.key);
-        else
+        if (!each.deleted)
             this->set(each);
+        else if (after_outage)
+            this->remove_later(now, each.key);
+        else
+            this->remove(each.key);
     }
     this->newest = changes.position;
 }
@@ -132,7 +136,7 @@
         if (now >= until)
             over.push_back(key);
     for (const std::string& key : over)
-        this->remove(now, key);
+        this->remove(key);
 }
 
 page table_mirror::whole() const
--- a/pistachiospan/mirror/mirror.hpp
+++ b/pistachiospan/mirror/mirror.hpp
@@ -43,9 +43,9 @@
 
 struct mirror_options
 {
-    // After an outage, rows that expired in it are written again by their owners. A row
-    // removed in the outage is believed gone only when this time has passed since the
-    // store's return. 0: removals hold at once.
+    // Rows that expired in an outage of the store are written again by their owners after
+    // it. A row that the first read after an outage shows as removed is believed gone only
+    // when this time has passed. 0: removals hold at once.
     duration removal_grace{0};
     // Failed reads for this long are an outage.
     duration outage_after = std::chrono::seconds(1);
@@ -57,13 +57,19 @@
     std::function<void(const std::string& key)> removed;
 };
 
+enum class origin
+{
+    store,
+    peer, // another VM, which has its own view of outages
+};
+
 class table_mirror
 {
 public:
     table_mirror(mirror_options options, mirror_hooks hooks);
 
     // All rows of the table. Rows that are missing from it are removed.
-    void apply_whole(time_point now, const page& all);
+    void apply_whole(time_point now, const page& all, origin from = origin::store);
     // The rows that changed after position().
     void apply_changes(time_point now, const page& changes);
 
@@ -84,8 +90,9 @@
 
 private:
     void set(const row& given);
-    void remove(time_point now, const std::string& key);
-    void end_outage(time_point now);
+    bool end_outage(time_point now);
+    void remove(const std::string& key);
+    void remove_later(time_point now, const std::string& key);
 
     mirror_options options;
     mirror_hooks hooks;
@@ -94,7 +101,6 @@
     std::uint64_t newest = 0;
     bool failing = false;
     time_point failing_since;
-    time_point grace_until;
 };
 
 } // namespace pistachiospan::mirror
--- a/pistachiospan/upstreams/placement.cpp
+++ b/pistachiospan/upstreams/placement.cpp
@@ -51,33 +51,41 @@
     }
 }
 
+double sum_of(const std::map<std::string, double>& parts)
+{
+    return std::accumulate(parts.begin(), parts.end(), 0.0,
+                           [](double sum, const auto& each)
+                           { return sum + each.second; });
+}
+
 } // namespace
 
 std::map<std::string, double> place(const placement_input& input,
                                     const std::string& origin)
 {
-    const double total =
-        std::accumulate(input.slots.begin(), input.slots.end(), 0.0,
-                        [](double sum, const auto& each) { return sum + each.second; });
-    if (total <= 0)
+    const double slots = sum_of(input.slots);
+    const double demand = sum_of(input.demand);
+    const auto own = input.demand.find(origin);
+    if (slots <= 0 || own == input.demand.end() || own->second <= 0)
         return {};
+    const double filled = std::max(input.utilisation, demand / slots);
     flows state;
-    const double each =
-        total / input.headroom / static_cast<double>(input.regions.size());
     for (const auto& [data_centre, region] : input.regions)
     {
-        state.demand[data_centre] = each;
-        const auto found = input.slots.find(data_centre);
-        state.room[data_centre] = found == input.slots.end() ? 0 : found->second;
+        const auto wanted = input.demand.find(data_centre);
+        state.demand[data_centre] = wanted == input.demand.end() ? 0 : wanted->second;
+        const auto room = input.slots.find(data_centre);
+        state.room[data_centre] = room == input.slots.end() ? 0 : room->second * filled;
     }
     settle(state, origin, std::equal_to<>());
     settle(state, origin, [&](const std::string& from, const std::string& to)
            { return input.regions.at(from) == input.regions.at(to); });
     settle(state, origin, [](const std::string&, const std::string&) { return true; });
+    const double placed = sum_of(state.placed);
     std::map<std::string, double> parts;
     for (const auto& [to, amount] : state.placed)
         if (amount > 0)
-            parts[to] = amount / each;
+            parts[to] = amount / placed;
     return parts;
 }
 
--- a/pistachiospan/upstreams/placement.hpp
+++ b/pistachiospan/upstreams/placement.hpp
@@ -13,13 +13,17 @@
 {
     std::map<std::string, std::string> regions; // data centre to region
     std::map<std::string, double> slots;        // of one service, by data centre
-    double headroom = 1.6; // slots for each one that is expected to be busy
+    std::map<std::string, double> demand; // slots kept busy, by data centre of callers
+    // Part of the slots that the plan fills. Below one, because requests come in bursts
+    // and wait for a slot long before the mean load reaches all of them.
+    double utilisation = 0.55;
 };
 
 // Parts of the requests from `origin` by data centre of the upstreams; they sum to one.
-// Callers are taken to be even over the data centres. Each data centre serves its own
-// callers as far as its slots go, then those of its region, then all others: bytes between
-// data centres are the dearest way, and the room is uneven. Empty without any slots.
+// Each data centre serves its own callers as far as its slots go, then those of its region,
+// then all others: the way to another region takes longest, and the room is uneven. A
+// service with too few slots for its demand is filled evenly. Empty without any slots or
+// any demand from `origin`.
 std::map<std::string, double> place(const placement_input& input,
                                     const std::string& origin);
 
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -46,11 +46,32 @@
 // Expected times above this are never reached: marks upstreams of last resort.
 constexpr double penalty = 1e9; // microseconds
 
+// Bounds on the learned slowness of one upstream.
+constexpr double least_slowness = 0.3;
+constexpr double most_slowness = 30;
+
+// Load of an upstream that has just refused a request as full, in slots.
+constexpr double full_load = 2;
+
+constexpr std::size_t kilobyte = 1024;
+
+// Parts of a plan below this are rounding.
+constexpr double least_part = 1e-6;
 
 // Time after which a refused caller may try again when no upstream is known.
 constexpr duration no_upstream_retry = std::chrono::milliseconds(500);
 constexpr duration least_retry = std::chrono::milliseconds(50);
 
+double slots_at(std::uint32_t slots)
+{
+    return std::max<std::uint32_t>(slots, 1);
+}
+
+void average(double& into, double sample, double weight)
+{
+    into = into <= 0 ? sample : into * (1 - weight) + sample * weight;
+}
+
 } // namespace
 
 upstream_set::upstream_set(set_options options, places where)
@@ -67,10 +88,30 @@
     return found == this->all.end() ? nullptr : found->second.get();
 }
 
-void upstream_set::forget_plans()
+bool upstream_set::object_memory::contains(std::uint64_t object) const
 {
-    for (auto& [name, group] : this->groups)
-        group.plan_valid = false;
+    return this->places.contains(object);
+}
+
+void upstream_set::object_memory::add(std::uint64_t object, std::size_t most)
+{
+    const auto known = this->places.find(object);
+    if (known != this->places.end())
+    {
+        this->order.splice(this->order.end(), this->order, known->second);
+        return;
+    }
+    this->places.emplace(object, this->order.insert(this->order.end(), object));
+    if (this->order.size() <= most)
+        return;
+    this->places.erase(this->order.front());
+    this->order.pop_front();
+}
+
+void upstream_set::object_memory::clear()
+{
+    this->order.clear();
+    this->places.clear();
 }
 
 std::string upstream_set::update(time_point now, const entry& said)
@@ -94,9 +135,7 @@
         made->cold_until = now + said.cold_left;
         made->cold_refilled = now;
         made->last_answer = now;
-        service_group& group = this->groups[said.service];
-        group.members.push_back(made.get());
-        group.plan_valid = false;
+        this->groups[said.service].members.push_back(made.get());
         this->all.emplace(said.id, std::move(made));
         return said.draining ? "added draining" : "added";
     }
@@ -110,15 +149,14 @@
         known->ejections = 0;
         known->failures = 0;
         known->others = 0;
+        known->slowness = 1;
+        known->objects.clear();
         change = "restarted";
     }
     if (said.cold_left > duration(0))
         known->cold_until = std::max(known->cold_until, now + said.cold_left);
     if (known->said.draining != said.draining)
-    {
-        this->groups[said.service].plan_valid = false;
         change = said.draining ? "draining" : "ready";
-    }
     known->said = said;
     return change;
 }
@@ -128,9 +166,7 @@
     const auto found = this->all.find(std::string(id));
     if (found == this->all.end())
         return false;
-    service_group& group = this->groups[found->second->said.service];
-    std::erase(group.members, found->second.get());
-    group.plan_valid = false;
+    std::erase(this->groups[found->second->said.service].members, found->second.get());
     this->all.erase(found);
     return true;
 }
@@ -172,7 +208,6 @@
     for (auto& [name, each] : this->evacuated)
         if (each.leaving && !all.contains(name))
             each = {.since = now, .leaving = false};
-    this->forget_plans();
 }
 
 // Part of the objects that a data centre still serves while it is evacuated or comes back.
@@ -197,16 +232,20 @@
     return of.in_flight + others;
 }
 
-double upstream_set::service_time_of(time_point now, const upstream& of,
-                                     const service_group& group) const
+double upstream_set::slowness_of(time_point now, const upstream& of) const
 {
-    const double mean =
-        group.service_time > 0 ? group.service_time : micros(this->options.initial_service);
-    if (of.service_time <= 0)
-        return mean;
     const double age = micros(now - of.sampled);
-    const double fresh = std::exp(-age / micros(this->options.service_memory));
-    return of.service_time * fresh + mean * (1 - fresh);
+    const double fresh = std::exp(-age / micros(this->options.speed_memory));
+    return of.slowness * fresh + (1 - fresh);
+}
+
+double upstream_set::path_to(const upstream& at) const
+{
+    if (at.region != this->region)
+        return micros(this->options.between_regions);
+    if (at.said.data_centre != this->options.data_centre)
+        return micros(this->options.between_data_centres);
+    return 0;
 }
 
 bool upstream_set::stalled(time_point now, const upstream& of,
@@ -214,30 +253,37 @@
 {
     if (of.begun.empty())
         return false;
-    const double mean =
-        group.service_time > 0 ? group.service_time : micros(this->options.initial_service);
-    const double patience = std::max(micros(this->options.stall), 2.5 * mean);
+    const double patience = std::max(micros(this->options.stall), 2.5 * group.mean_time);
     return micros(now - std::max(of.begun.front(), of.last_answer)) > patience;
 }
 
-double upstream_set::expected_time(time_point now, const candidate& of, std::size_t rank,
-                                   const service_group& group) const
+// The time to the answer: wait for a slot, work, way. The first choice may know the object
+// through other VMs, so it gets half of the difference.
+void upstream_set::estimate(time_point now, candidate& of, std::size_t rank,
+                            const query& wanted, const service_group& group) const
 {
     const upstream& at = *of.at;
-    double service = this->service_time_of(now, at, group);
-    if (now < at.cold_until)
-        service *= this->options.cold_factor;
-    const double slots = std::max<std::uint32_t>(at.said.slots, 1);
+    const double known =
+        group.known_time > 0 ? group.known_time : micros(this->options.initial_known);
+    const double unknown = std::max(
+        known,
+        group.unknown_time > 0 ? group.unknown_time : micros(this->options.initial_unknown));
+    const double speed = this->slowness_of(now, at) *
+                         (now < at.cold_until ? this->options.cold_factor : 1.0);
+    const double work =
+        of.knows ? known : (rank == 0 ? (known + unknown) / 2 : unknown);
+    const double mean = group.mean_time > 0 ? group.mean_time : unknown;
+    const double slots = slots_at(at.said.slots);
     const double ahead = std::max(0.0, this->load_of(now, at) + 1 - slots);
-    const double wait = ahead / slots * service;
-    const double work = rank == 0 ? service : service * this->options.unknown_object_factor;
-    double path = 0;
-    if (at.region != this->region)
-        path = micros(this->options.between_regions);
-    else if (at.said.data_centre != this->options.data_centre)
-        path = micros(this->options.between_data_centres);
+    of.wait = ahead / slots * mean * speed;
+    of.path = this->path_to(at);
+    const bool elsewhere = at.said.data_centre != this->options.data_centre;
+    const double distance =
+        elsewhere ? micros(this->options.distance_per_kilobyte) *
+                        static_cast<double>(wanted.body_size / kilobyte)
+                  : 0;
     const double stall = this->stalled(now, at, group) ? penalty : 0;
-    return wait + work + path + stall;
+    of.expected = of.wait + work * speed + of.path + distance + stall;
 }
 
 bool upstream_set::has_cold_token(time_point now, upstream& of, const service_group& group)
@@ -267,7 +313,7 @@
 }
 
 bool upstream_set::usable(time_point now, const upstream& of, const query& wanted,
-                          std::uint64_t object_hash)
+                          std::uint64_t object_hash) const
 {
     if (of.said.draining || now < of.ejected_until)
         return false;
@@ -281,30 +327,116 @@
     return unit_of(mix(object_hash, hash_bytes(of.said.data_centre))) < present;
 }
 
-void upstream_set::make_plan(time_point now, service_group& group)
+std::map<std::string, double> upstream_set::slots_of(time_point now,
+                                                     const service_group& group) const
 {
-    placement_input input{.regions = this->where, .headroom = this->options.plan_headroom};
-    bool moving = false;
+    std::map<std::string, double> slots;
     for (const upstream* each : group.members)
+        if (!each->said.draining && this->where.contains(each->said.data_centre))
+            slots[each->said.data_centre] +=
+                this->presence(now, each->said.data_centre) * slots_at(each->said.slots);
+    return slots;
+}
+
+int upstream_set::distance_of(const std::string& data_centre) const
+{
+    if (data_centre == this->options.data_centre)
+        return 0;
+    const auto found = this->where.find(data_centre);
+    return found != this->where.end() && found->second == this->region ? 1 : 2;
+}
+
+// Nearest first, so that the objects that stay near are the same when the parts change.
+void upstream_set::order_plan(service_group& group) const
+{
+    group.plan_order.clear();
+    for (const auto& [name, part] : group.plan)
+        group.plan_order.push_back(name);
+    std::ranges::stable_sort(group.plan_order, {},
+                             [this](const std::string& name)
+                             { return this->distance_of(name); });
+}
+
+// Before any demand is known: the same from each data centre.
+void upstream_set::make_first_plan(time_point now, service_group& group)
+{
+    placement_input input{.regions = this->where, .slots = this->slots_of(now, group)};
+    double slots = 0;
+    for (const auto& [name, count] : input.slots)
+        slots += count;
+    const double each = slots * this->options.initial_utilisation /
+                        static_cast<double>(std::max<std::size_t>(this->where.size(), 1));
+    for (const auto& [name, in_region] : this->where)
+        input.demand[name] = each;
+    group.plan = place(input, this->options.data_centre);
+    group.planned = now;
+    this->order_plan(group);
+}
+
+void upstream_set::move_plan(time_point now, service_group& group)
+{
+    this->decay_demand(now, group);
+    placement_input input{.regions = this->where, .slots = this->slots_of(now, group)};
+    const double work = group.mean_time / 1e6; // seconds
+    for (const auto& [name, rate] : group.remote)
+        input.demand[name] += rate * work;
+    input.demand[this->options.data_centre] += group.demand * work;
+    const std::map<std::string, double> target = place(input, this->options.data_centre);
+    if (target.empty())
+        return;
+    double away = 0; // part that is elsewhere in the target
+    std::map<std::string, double> change = target;
+    for (const auto& [name, part] : group.plan)
+        change[name] -= part;
+    for (const auto& [name, part] : change)
+        away += std::max(part, 0.0);
+    const double step = away > this->options.plan_step ? this->options.plan_step / away : 1;
+    for (const auto& [name, part] : change)
+        group.plan[name] += part * step;
+    std::erase_if(group.plan, [](const auto& each) { return each.second < least_part; });
+    group.planned = now;
+    this->order_plan(group);
+}
+
+void upstream_set::decay_demand(time_point now, service_group& group) const
+{
+    const double elapsed = micros(now - group.decayed);
+    group.decayed = now;
+    group.demand *= std::exp(-elapsed / micros(this->options.demand_memory));
+}
+
+void upstream_set::count_demand(time_point now, service_group& group) const
+{
+    this->decay_demand(now, group);
+    group.demand += 1e6 / micros(this->options.demand_memory);
+}
+
+std::vector<service_demand> upstream_set::local_demand(time_point now)
+{
+    std::vector<service_demand> all;
+    for (auto& [name, group] : this->groups)
     {
-        if (each->said.draining || !this->where.contains(each->said.data_centre))
-            continue;
-        const double present = this->presence(now, each->said.data_centre);
-        moving = moving || (present > 0 && present < 1);
-        input.slots[each->said.data_centre] += present * each->said.slots;
+        this->decay_demand(now, group);
+        all.push_back({.service = name, .rate = group.demand});
     }
-    group.plan = place(input, this->options.data_centre);
-    group.plan_order.clear();
-    for (const int wanted : {0, 1, 2})
-        for (const auto& [name, part] : group.plan)
-        {
-            const bool own = name == this->options.data_centre;
-            const bool near = this->where[name] == this->region;
-            const int tier = own ? 0 : (near ? 1 : 2);
-            if (tier == wanted)
-                group.plan_order.push_back(name);
-        }
-    group.plan_valid = !moving;
+    return all;
+}
+
+void upstream_set::set_remote_demand(std::map<std::string, demand_by_place> by_service)
+{
+    for (auto& [name, group] : this->groups)
+    {
+        const auto found = by_service.find(name);
+        group.remote = found == by_service.end() ? demand_by_place() : found->second;
+    }
+}
+
+void upstream_set::tick(time_point now)
+{
+    for (auto& [name, group] : this->groups)
+        if (!group.plan.empty() && now - group.planned >= this->options.plan_interval &&
+            group.mean_time > 0)
+            this->move_plan(now, group);
 }
 
 const std::string* upstream_set::planned(const service_group& group,
@@ -337,8 +469,10 @@
         return {.failure = selection_failure::no_upstream,
                 .retry_after = no_upstream_retry};
     service_group& group = found->second;
-    if (!group.plan_valid)
-        this->make_plan(now, group);
+    if (!wanted.retry)
+        this->count_demand(now, group);
+    if (group.plan.empty())
+        this->make_first_plan(now, group);
     const std::uint64_t object = wanted.object.empty()
                                      ? mix(++this->spread, hash_bytes(wanted.service))
                                      : hash_bytes(wanted.object, hash_bytes(wanted.service));
@@ -350,7 +484,8 @@
             this->has_cold_token(now, *each, group))
             candidates.push_back({.at = each,
                                   .tier = this->tier_of(*each, planned),
-                                  .score = score_of(object, each->hash, each->said.slots)});
+                                  .score = score_of(object, each->hash, each->said.slots),
+                                  .knows = each->objects.contains(object)});
     if (candidates.empty())
         return {.failure = selection_failure::no_upstream,
                 .retry_after = no_upstream_retry};
@@ -365,7 +500,7 @@
     for (std::size_t rank = 0; rank < candidates.size(); ++rank)
     {
         candidate& each = candidates[rank];
-        each.expected = this->expected_time(now, each, rank, group);
+        this->estimate(now, each, rank, wanted, group);
         if (best == nullptr || each.expected < best->expected)
             best = &each;
     }
@@ -379,16 +514,21 @@
             .id = best->at->said.id,
             .address = best->at->said.address,
             .expected = expected,
-            .load = this->load_of(now, *best->at)};
+            .wait = to_duration(best->wait),
+            .path = to_duration(best->path),
+            .load = this->load_of(now, *best->at),
+            .object = object,
+            .knows_object = best->knows};
 }
 
-void upstream_set::begin(time_point now, std::string_view id)
+void upstream_set::begin(time_point now, const selection& chosen)
 {
-    upstream* at = this->find(id);
+    upstream* at = this->find(chosen.id);
     if (at == nullptr)
         return;
     ++at->in_flight;
     at->begun.push_back(now);
+    at->objects.add(chosen.object, this->options.known_objects);
 }
 
 void upstream_set::eject(time_point now, upstream& of)
@@ -400,10 +540,36 @@
     of.failures = 0;
 }
 
-void upstream_set::end(time_point now, std::string_view id, ending how, duration latency,
-                       std::optional<load_report> report)
+// Takes the time of an answer into the averages. The service's own come only from
+// requests that did not wait, since a wait says nothing about the work.
+void upstream_set::learn(time_point now, upstream& at, const selection& chosen,
+                         duration latency)
+{
+    service_group& group = this->groups[at.said.service];
+    const bool cold = now < at.cold_until;
+    const double sample =
+        std::max(micros(latency - chosen.wait - chosen.path), micros(latency) / 4) /
+        (cold ? this->options.cold_factor : 1.0);
+    double& kind = chosen.knows_object ? group.known_time : group.unknown_time;
+    const double usual = kind > 0 ? kind
+                                  : micros(chosen.knows_object
+                                               ? this->options.initial_known
+                                               : this->options.initial_unknown);
+    const double ratio = std::clamp(sample / usual, least_slowness, most_slowness);
+    average(at.slowness, ratio, this->options.sample_weight);
+    at.sampled = now;
+    if (chosen.wait > duration(0))
+        return;
+    // One slow upstream must not make all of its service look slow.
+    const double fair = std::min(sample, 3 * usual);
+    average(kind, fair, this->options.group_weight);
+    average(group.mean_time, fair, this->options.group_weight);
+}
+
+void upstream_set::end(time_point now, const selection& chosen, ending how,
+                       duration latency, std::optional<load_report> report)
 {
-    upstream* at = this->find(id);
+    upstream* at = this->find(chosen.id);
     if (at == nullptr)
         return;
     if (at->in_flight > 0)
@@ -418,29 +584,18 @@
         at->others = std::max(0.0, all - at->in_flight - 1);
         at->reported = now;
     }
-    service_group& group = this->groups[at->said.service];
     switch (how)
     {
     case ending::answered:
-    {
-        const double slots = std::max<std::uint32_t>(at->said.slots, 1);
-        const double ahead = std::max(0.0, this->load_of(now, *at) - slots) / slots;
-        const double sample = micros(latency) / (1 + ahead);
-        const double weight = this->options.service_weight;
-        at->service_time = at->service_time <= 0
-                               ? sample
-                               : at->service_time * (1 - weight) + sample * weight;
-        constexpr double group_weight = 0.02;
-        group.service_time = group.service_time <= 0
-                                 ? sample
-                                 : group.service_time * (1 - group_weight) +
-                                       sample * group_weight;
-        at->sampled = now;
+        this->learn(now, *at, chosen, latency);
         at->last_answer = now;
         at->failures = 0;
         at->ejections = 0;
         break;
-    }
+    case ending::silent:
+        if (++at->failures >= this->options.failures_before_ejection)
+            this->eject(now, *at);
+        break;
     case ending::failed:
     case ending::broken:
         at->last_answer = now;
@@ -454,7 +609,7 @@
     case ending::shed:
         at->last_answer = now;
         // Full for now, whatever was believed.
-        at->others = std::max<double>(at->others, at->said.slots + 2.0);
+        at->others = std::max(at->others, full_load * slots_at(at->said.slots));
         at->reported = now;
         break;
     case ending::cancelled:
@@ -484,15 +639,15 @@
                          .draining = each->said.draining,
                          .ejected = now < each->ejected_until,
                          .cold = now < each->cold_until,
-                         .service_time = to_duration(each->service_time)});
+                         .slowness = this->slowness_of(now, *each)});
     return views;
 }
 
 std::map<std::string, double> upstream_set::plan_of(time_point now, std::string_view service)
 {
     service_group& group = this->groups[std::string(service)];
-    if (!group.plan_valid)
-        this->make_plan(now, group);
+    if (group.plan.empty())
+        this->make_first_plan(now, group);
     return group.plan;
 }
 
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -6,8 +6,8 @@
 //     known.update(now, {.id = "i-7f", .service = "orders", .address = "10.2.0.9:80", ...});
 //     const selection made = known.select(now, {.service = "orders", .object = "17", ...});
 //     if (made.found)
-//         known.begin(now, made.id);
-//     known.end(now, made.id, ending::answered, latency, report);
+//         known.begin(now, made);
+//     known.end(now, made, ending::answered, latency, report);
 //
 // A request for an object goes to the same upstream from every VM of a data centre, because
 // an upstream is several times faster with objects that it handled recently. Two steps
@@ -22,6 +22,7 @@
 #include "pistachiospan/desired/desired.hpp"
 
 #include <deque>
+#include <list>
 #include <map>
 #include <optional>
 #include <set>
@@ -61,6 +62,7 @@
     shed,      // refused as not run
     failed,    // an answer that reports a failure of the upstream
     broken,    // no whole answer
+    silent,    // no answer in the time that the request had
     not_sent,  // no connection
     cancelled, // ended by this VM
     misdirected, // another upstream has the address
@@ -68,23 +70,35 @@
 
 struct set_options
 {
-    std::string data_centre;                                // of this VM
-    duration initial_service = std::chrono::milliseconds(200); // before the first answer
-    double service_weight = 0.15;      // of one answer in the average service time
-    // Without answers the average returns to the mean of the service in this time, so
-    // that an upstream that was slow is tried again.
-    duration service_memory = std::chrono::seconds(4);
+    std::string data_centre; // of this VM
+    // Work on an object that the upstream knows and on one that it does not, before the
+    // first answers show it.
+    duration initial_known = std::chrono::milliseconds(100);
+    duration initial_unknown = std::chrono::milliseconds(250);
+    double sample_weight = 0.15; // of one answer in the averages of an upstream
+    double group_weight = 0.02;  // of one answer in the averages of a service
+    // Without answers the speed of an upstream returns to that of its service in this
+    // time, so that one that was slow is tried again.
+    duration speed_memory = std::chrono::seconds(4);
     // Requests of other VMs in a report count less and less over this time.
     duration report_memory = std::chrono::milliseconds(400);
-    // Work on an object that the upstream does not know, relative to one that it knows.
-    double unknown_object_factor = 2.5;
-    double cold_factor = 2.0; // service time of a cold upstream
+    // Objects that one upstream is believed to know.
+    std::size_t known_objects = 64;
+    double cold_factor = 2.0; // work at a cold upstream
     duration between_regions = std::chrono::milliseconds(24); // both ways
     duration between_data_centres = std::chrono::milliseconds(3);
-    // Slots in the plan for each slot that is expected to be busy.
-    double plan_headroom = 1.6;
+    // Time that is worth spending to keep a body in its data centre, for each kilobyte:
+    // links between data centres are shared and slow for large bodies.
+    duration distance_per_kilobyte = std::chrono::milliseconds(3);
+    // The plan moves at most this part of the requests in one interval: regions must not
+    // change their load at once.
+    double plan_step = 0.025;
+    duration plan_interval = std::chrono::milliseconds(500);
+    duration demand_memory = std::chrono::seconds(3);
+    // Busy part of all slots that the first plan expects.
+    double initial_utilisation = 0.5;
     // Time in which an evacuated data centre gives up its requests, and in which a
-    // returned one gets them: regions must not change their load at once.
+    // returned one gets them.
     duration evacuation_ramp = std::chrono::milliseconds(3500);
     duration return_ramp = std::chrono::seconds(6);
     duration first_ejection = std::chrono::milliseconds(700); // doubles up to the longest
@@ -104,6 +118,8 @@
     std::span<const std::string> more_homes; // both lists bind
     std::span<const std::string> excluded; // upstream ids
     duration time_left{0};
+    std::size_t body_size = 0; // bytes
+    bool retry = false;        // not the first attempt
 };
 
 enum class selection_failure
@@ -119,7 +135,11 @@
     std::string id;
     std::string address;
     duration expected{0}; // completion, from now
+    duration wait{0};     // part of it: for a slot
+    duration path{0};     // part of it: on the way
     double load = 0;      // requests believed to be at the upstream
+    std::uint64_t object = 0;
+    bool knows_object = false;
     selection_failure failure = selection_failure::none;
     duration retry_after{0}; // not found: when room is expected
 };
@@ -134,7 +154,14 @@
     bool draining = false;
     bool ejected = false;
     bool cold = false;
-    duration service_time{0};
+    double slowness = 1; // work relative to the service's mean
+};
+
+// Requests for a service, before any is refused.
+struct service_demand
+{
+    std::string service;
+    double rate = 0; // requests per second
 };
 
 class upstream_set
@@ -159,9 +186,17 @@
 
     selection select(time_point now, const query& wanted);
 
+    // Demand at this VM, for the other VMs.
+    std::vector<service_demand> local_demand(time_point now);
+    // Demand at the other VMs, by their data centre.
+    using demand_by_place = std::map<std::string, double>;
+    void set_remote_demand(std::map<std::string, demand_by_place> by_service);
+    // Moves the plans towards the demand. Call about twice a second.
+    void tick(time_point now);
+
     // A request was sent. Each begin() is followed by one end().
-    void begin(time_point now, std::string_view id);
-    void end(time_point now, std::string_view id, ending how, duration latency,
+    void begin(time_point now, const selection& chosen);
+    void end(time_point now, const selection& chosen, ending how, duration latency,
              std::optional<load_report> report);
     void note_cold(time_point now, std::string_view id, duration cold_left);
 
@@ -171,6 +206,19 @@
     std::map<std::string, double> plan_of(time_point now, std::string_view service);
 
 private:
+    // Objects that an upstream handled recently, the latest last.
+    class object_memory
+    {
+    public:
+        bool contains(std::uint64_t object) const;
+        void add(std::uint64_t object, std::size_t most);
+        void clear();
+
+    private:
+        std::list<std::uint64_t> order;
+        std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> places;
+    };
+
     struct upstream
     {
         entry said;
@@ -181,8 +229,9 @@
         time_point last_answer;
         double others = 0; // requests of other VMs at the last report
         time_point reported;
-        double service_time = 0; // microseconds, average
+        double slowness = 1; // work relative to the mean of the service
         time_point sampled;
+        object_memory objects;
         std::uint32_t failures = 0;  // in a row
         std::uint32_t ejections = 0; // in a row
         time_point ejected_until;
@@ -194,12 +243,17 @@
     struct service_group
     {
         std::vector<upstream*> members;
-        double service_time = 0; // microseconds, average over all
+        double known_time = 0;   // microseconds of work on a known object, average
+        double unknown_time = 0; // microseconds of work on an unknown object, average
+        double mean_time = 0;    // microseconds of work, average
         duration cold_time{0};
         double cold_rate = 0;
-        std::map<std::string, double> plan; // data centre to its part, ordered
+        double demand = 0; // requests per second at this VM
+        time_point decayed;
+        demand_by_place remote;
+        std::map<std::string, double> plan; // data centre to its part
         std::vector<std::string> plan_order;
-        bool plan_valid = false;
+        time_point planned; // last move of the plan
     };
 
     struct candidate
@@ -207,6 +261,9 @@
         upstream* at = nullptr;
         int tier = 0;     // 0: data centre of the plan
         double score = 0; // of the rendezvous hash
+        bool knows = false;
+        double wait = 0; // microseconds, as the next ones
+        double path = 0;
         double expected = 0;
     };
 
@@ -219,22 +276,28 @@
 
     upstream* find(std::string_view id);
     double load_of(time_point now, const upstream& of) const;
-    double service_time_of(time_point now, const upstream& of,
-                           const service_group& group) const;
-    double expected_time(time_point now, const candidate& of, std::size_t rank,
-                         const service_group& group) const;
+    double slowness_of(time_point now, const upstream& of) const;
+    double path_to(const upstream& at) const;
+    void estimate(time_point now, candidate& of, std::size_t rank, const query& wanted,
+                  const service_group& group) const;
     bool usable(time_point now, const upstream& of, const query& wanted,
-                std::uint64_t object_hash);
+                std::uint64_t object_hash) const;
     bool stalled(time_point now, const upstream& of, const service_group& group) const;
     bool take_cold_token(time_point now, upstream& of, const service_group& group);
     bool has_cold_token(time_point now, upstream& of, const service_group& group);
     double presence(time_point now, const std::string& data_centre) const;
-    void make_plan(time_point now, service_group& group);
+    std::map<std::string, double> slots_of(time_point now, const service_group& group) const;
+    void make_first_plan(time_point now, service_group& group);
+    void move_plan(time_point now, service_group& group);
+    void order_plan(service_group& group) const;
+    void count_demand(time_point now, service_group& group) const;
+    void decay_demand(time_point now, service_group& group) const;
     const std::string* planned(const service_group& group, std::uint64_t object_hash) const;
     int tier_of(const upstream& of, const std::string* planned) const;
+    int distance_of(const std::string& data_centre) const;
     bool in_homes(const upstream& of, std::span<const std::string> homes) const;
+    void learn(time_point now, upstream& at, const selection& chosen, duration latency);
     void eject(time_point now, upstream& of);
-    void forget_plans();
 
     set_options options;
     places where;
