--- a/pistachiospan/allowance/allowance.cpp
+++ b/pistachiospan/allowance/allowance.cpp
@@ -69,6 +69,16 @@
     found->second.others = others;
 }
 
+void ledger::change_remote(time_point now, const demand& change)
+{
+    const auto found = this->buckets.find(change.account);
+    if (found == this->buckets.end())
+        return;
+    this->refill(now, found->second);
+    double& sum = found->second.others.demand;
+    sum = std::max(0.0, sum + change.rate);
+}
+
 double ledger::part(const bucket& of) const
 {
     const double least = of.rate * this->options.least_demand;
--- a/pistachiospan/allowance/allowance.hpp
+++ b/pistachiospan/allowance/allowance.hpp
@@ -71,6 +71,8 @@
     void set_vm_count(std::size_t count);
     // To be called with each change of what is known, and after each report.
     void set_remote(time_point now, std::string_view account, remote_share others);
+    // The demand at one other VM has changed by this.
+    void change_remote(time_point now, const demand& change);
 
     // Counts the request as demand and takes a token if there is one.
     admission admit(time_point now, std::string_view account);
--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -431,7 +431,13 @@
     }
     const std::string name = said.value().vm.value;
     const std::uint64_t version = said.value().desired_version;
-    if (this->vms.observe(monotonic_now(), std::move(said.value())))
+    const time_point now = monotonic_now();
+    const fleet::membership::observation seen =
+        this->vms.observe(now, std::move(said.value()));
+    // All VMs reckon with the same figures at the same time.
+    for (const allowance::demand& change : seen.change)
+        this->allowances.change_remote(now, change);
+    if (seen.appeared)
     {
         this->log("vm_found", {{"peer", name}});
         this->apply_vm_count();
--- a/pistachiospan/fleet/fleet.cpp
+++ b/pistachiospan/fleet/fleet.cpp
@@ -10,6 +10,20 @@
 
 constexpr std::size_t report_fields = 12;
 
+std::vector<allowance::demand> difference(const std::vector<allowance::demand>& before,
+                                          const std::vector<allowance::demand>& after)
+{
+    std::map<std::string, double> rates;
+    for (const allowance::demand& each : after)
+        rates[each.account] += each.rate;
+    for (const allowance::demand& each : before)
+        rates[each.account] -= each.rate;
+    std::vector<allowance::demand> change;
+    for (const auto& [account, rate] : rates)
+        change.push_back({.account = account, .rate = rate});
+    return change;
+}
+
 } // namespace
 
 std::string encode(const report& from)
@@ -20,7 +34,7 @@
                                 static_cast<float>(each.part)};
     nlohmann::json services = nlohmann::json::object();
     for (const upstreams::service_demand& each : from.services)
-        services[each.service] = static_cast<float>(each.rate);
+        services[each.service] = {static_cast<float>(each.rate), each.bound};
     const nlohmann::json all = {
         from.vm.value,       from.started,        from.sequence,
         from.data_centre,    from.peer_address,   from.caller_address,
@@ -53,8 +67,11 @@
             made.demand.push_back({.account = account,
                                    .rate = figures.at(0).get<double>(),
                                    .part = figures.at(1).get<double>()});
-        for (const auto& [service, rate] : all[11].items())
-            made.services.push_back({.service = service, .rate = rate.get<double>()});
+        for (const auto& [service, figures] : all[11].items())
+            made.services.push_back(
+                {.service = service,
+                 .rate = figures.at(0).get<double>(),
+                 .bound = figures.at(1).get<std::map<std::string, double>>()});
         return made;
     }
     catch (const nlohmann::json::exception& problem)
@@ -82,10 +99,10 @@
     return now - of.heard <= this->options.live_for;
 }
 
-bool membership::observe(time_point now, report said)
+membership::observation membership::observe(time_point now, report said)
 {
     if (said.vm == this->options.self)
-        return false;
+        return {};
     const vm_id name = said.vm;
     const auto known = this->peers.find(name);
     const bool older =
@@ -93,12 +110,14 @@
         std::pair(said.started, said.sequence) <
             std::pair(known->second.said.started, known->second.said.sequence);
     if (older)
-        return false;
-    const bool appeared = !this->was_live[name];
+        return {};
+    observation seen{.appeared = !this->was_live[name]};
+    if (!seen.appeared && known != this->peers.end())
+        seen.change = difference(known->second.said.demand, said.demand);
     this->was_live[name] = true;
     this->addresses[name] = said.peer_address;
     this->peers[name] = {.said = std::move(said), .heard = now};
-    return appeared;
+    return seen;
 }
 
 std::vector<vm_id> membership::expire(time_point now)
@@ -164,14 +183,22 @@
     return shares;
 }
 
-std::map<std::string, std::map<std::string, double>>
+std::map<std::string, upstreams::remote_demand>
 membership::service_demand(time_point now) const
 {
-    std::map<std::string, std::map<std::string, double>> sums;
+    std::map<std::string, upstreams::remote_demand> sums;
     for (const auto& [name, each] : this->peers)
-        if (this->is_live(now, each))
-            for (const upstreams::service_demand& part : each.said.services)
-                sums[part.service][each.said.data_centre] += part.rate;
+    {
+        if (!this->is_live(now, each))
+            continue;
+        for (const upstreams::service_demand& part : each.said.services)
+        {
+            upstreams::remote_demand& sum = sums[part.service];
+            sum.free[each.said.data_centre] += part.rate;
+            for (const auto& [region, rate] : part.bound)
+                sum.bound[region] += rate;
+        }
+    }
     return sums;
 }
 
--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -77,8 +77,15 @@
     // Addresses of VMs that may not have reported yet (from the store's rows).
     void add_address(const vm_id& vm, const std::string& peer_address);
 
-    // Returns true for a VM that was not live before. Older reports are ignored.
-    bool observe(time_point now, report said);
+    struct observation
+    {
+        bool appeared = false; // the VM was not live before
+        // What its demand has changed by, if it was live before.
+        std::vector<allowance::demand> change;
+    };
+
+    // Older reports are ignored.
+    observation observe(time_point now, report said);
     // VMs that fell silent since the last call.
     std::vector<vm_id> expire(time_point now);
 
@@ -93,9 +100,8 @@
 
     // What the other VMs said, by client account.
     std::map<std::string, allowance::remote_share> remote_shares(time_point now) const;
-    // Requests per second at the other live VMs, by service, then by data centre.
-    std::map<std::string, std::map<std::string, double>>
-    service_demand(time_point now) const;
+    // What the other live VMs said, by service.
+    std::map<std::string, upstreams::remote_demand> service_demand(time_point now) const;
 
     // Caller addresses for a caller of this place, best first: the VMs of its region, else
     // all.
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -31,6 +31,19 @@
     return upstreams::ending::broken;
 }
 
+refusal refusal_of(upstreams::selection_failure failure)
+{
+    switch (failure)
+    {
+    case upstreams::selection_failure::too_late:
+        return refusal::too_late;
+    case upstreams::selection_failure::no_room:
+        return refusal::no_room;
+    default:
+        return refusal::no_upstream;
+    }
+}
+
 } // namespace
 
 std::string_view name_of(refusal reason)
@@ -51,6 +64,8 @@
         return "no_upstream";
     case refusal::too_late:
         return "too_late";
+    case refusal::no_room:
+        return "no_room";
     case refusal::upstream_full:
         return "upstream_full";
     case refusal::unknown_outcome:
@@ -169,13 +184,12 @@
               .more_homes = of.account == nullptr ? nowhere : of.account->homes,
               .excluded = of.excluded,
               .time_left = part,
+              .objective = of.route->latency_objective,
               .body_size = of.request.body_size,
               .retry = of.attempts > 0 || of.unsent > 0});
     if (!of.chosen.found)
     {
-        const bool late = of.chosen.failure == upstreams::selection_failure::too_late;
-        this->give_up(now, exchange, of, late ? refusal::too_late : refusal::no_upstream,
-                      {});
+        this->give_up(now, exchange, of, refusal_of(of.chosen.failure), {});
         return;
     }
     of.upstream = of.chosen.id;
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -84,6 +84,7 @@
     over_allowance,  // the account's rate and burst are used up
     no_upstream,     // none is usable now
     too_late,        // the expected answer comes after the deadline
+    no_room,         // all slots are busy, and the answer would come late
     upstream_full,   // the upstreams that were asked refused it as not run
     unknown_outcome, // it may have run
     deadline,        // no answer in time; it may have run
--- a/pistachiospan/upstreams/placement.cpp
+++ b/pistachiospan/upstreams/placement.cpp
@@ -58,6 +58,24 @@
                            { return sum + each.second; });
 }
 
+// Free slots by data centre when each one's slots are filled to this part.
+std::map<std::string, double> room_of(const placement_input& input, double filled)
+{
+    std::map<std::string, double> in_region;
+    for (const auto& [data_centre, slots] : input.slots)
+        in_region[input.regions.at(data_centre)] += slots;
+    std::map<std::string, double> room;
+    for (const auto& [data_centre, slots] : input.slots)
+    {
+        const std::string& region = input.regions.at(data_centre);
+        const auto bound = input.bound.find(region);
+        const double taken =
+            bound == input.bound.end() ? 0 : bound->second * slots / in_region[region];
+        room[data_centre] = std::max(0.0, slots * filled - taken);
+    }
+    return room;
+}
+
 } // namespace
 
 std::map<std::string, double> place(const placement_input& input,
@@ -68,14 +86,21 @@
     const auto own = input.demand.find(origin);
     if (slots <= 0 || own == input.demand.end() || own->second <= 0)
         return {};
-    const double filled = std::max(input.utilisation, demand / slots);
-    flows state;
+    // Regions full of bound work have no room, so the others may be filled further.
+    constexpr double step = 1.1;
+    const double all = demand + sum_of(input.bound);
+    double filled = std::max(input.utilisation, all / slots);
+    flows state{.room = room_of(input, filled)};
+    while (sum_of(state.room) < demand)
+    {
+        filled *= step;
+        state.room = room_of(input, filled);
+    }
     for (const auto& [data_centre, region] : input.regions)
     {
         const auto wanted = input.demand.find(data_centre);
         state.demand[data_centre] = wanted == input.demand.end() ? 0 : wanted->second;
-        const auto room = input.slots.find(data_centre);
-        state.room[data_centre] = room == input.slots.end() ? 0 : room->second * filled;
+        state.room.emplace(data_centre, 0);
     }
     settle(state, origin, std::equal_to<>());
     settle(state, origin, [&](const std::string& from, const std::string& to)
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -258,7 +258,9 @@
 }
 
 // The time to the answer: wait for a slot, work, way. The first choice may know the object
-// through other VMs, so it gets half of the difference.
+// through other VMs, which is hoped for. A choice that does not know the object costs more
+// than the caller's time: its longer work takes slots from others, and the objects that it
+// knows are spread over more upstreams.
 void upstream_set::estimate(time_point now, candidate& of, std::size_t rank,
                             const query& wanted, const service_group& group) const
 {
@@ -270,8 +272,6 @@
         group.unknown_time > 0 ? group.unknown_time : micros(this->options.initial_unknown));
     const double speed = this->slowness_of(now, at) *
                          (now < at.cold_until ? this->options.cold_factor : 1.0);
-    const double work =
-        of.knows ? known : (rank == 0 ? (known + unknown) / 2 : unknown);
     const double mean = group.mean_time > 0 ? group.mean_time : unknown;
     const double slots = slots_at(at.said.slots);
     const double ahead = std::max(0.0, this->load_of(now, at) + 1 - slots);
@@ -283,7 +283,12 @@
                         static_cast<double>(wanted.body_size / kilobyte)
                   : 0;
     const double stall = this->stalled(now, at, group) ? penalty : 0;
-    of.expected = of.wait + work * speed + of.path + distance + stall;
+    const bool first = rank == 0;
+    const double rest = of.wait + of.path;
+    of.expected = rest + (of.knows ? known : unknown) * speed + stall;
+    of.hoped = rest + (of.knows || first ? known : unknown) * speed;
+    of.cost = rest + distance + stall +
+              (of.knows || first ? known : unknown * this->options.unknown_cost) * speed;
 }
 
 bool upstream_set::has_cold_token(time_point now, upstream& of, const service_group& group)
@@ -378,8 +383,12 @@
     this->decay_demand(now, group);
     placement_input input{.regions = this->where, .slots = this->slots_of(now, group)};
     const double work = group.mean_time / 1e6; // seconds
-    for (const auto& [name, rate] : group.remote)
+    for (const auto& [name, rate] : group.remote.free)
         input.demand[name] += rate * work;
+    for (const auto& [name, rate] : group.remote.bound)
+        input.bound[name] += rate * work;
+    for (const auto& [name, rate] : group.bound)
+        input.bound[name] += rate * work;
     input.demand[this->options.data_centre] += group.demand * work;
     const std::map<std::string, double> target = place(input, this->options.data_centre);
     if (target.empty())
@@ -402,13 +411,23 @@
 {
     const double elapsed = micros(now - group.decayed);
     group.decayed = now;
-    group.demand *= std::exp(-elapsed / micros(this->options.demand_memory));
+    const double kept = std::exp(-elapsed / micros(this->options.demand_memory));
+    group.demand *= kept;
+    for (auto& [region, rate] : group.bound)
+        rate *= kept;
 }
 
-void upstream_set::count_demand(time_point now, service_group& group) const
+void upstream_set::count_demand(time_point now, service_group& group,
+                                const query& wanted) const
 {
     this->decay_demand(now, group);
-    group.demand += 1e6 / micros(this->options.demand_memory);
+    const double one = 1e6 / micros(this->options.demand_memory);
+    const std::span<const std::string> homes =
+        wanted.homes.empty() ? wanted.more_homes : wanted.homes;
+    if (homes.empty())
+        group.demand += one;
+    for (const std::string& region : homes)
+        group.bound[region] += one / static_cast<double>(homes.size());
 }
 
 std::vector<service_demand> upstream_set::local_demand(time_point now)
@@ -417,17 +436,17 @@
     for (auto& [name, group] : this->groups)
     {
         this->decay_demand(now, group);
-        all.push_back({.service = name, .rate = group.demand});
+        all.push_back({.service = name, .rate = group.demand, .bound = group.bound});
     }
     return all;
 }
 
-void upstream_set::set_remote_demand(std::map<std::string, demand_by_place> by_service)
+void upstream_set::set_remote_demand(std::map<std::string, remote_demand> by_service)
 {
     for (auto& [name, group] : this->groups)
     {
         const auto found = by_service.find(name);
-        group.remote = found == by_service.end() ? demand_by_place() : found->second;
+        group.remote = found == by_service.end() ? remote_demand() : found->second;
     }
 }
 
@@ -470,7 +489,7 @@
                 .retry_after = no_upstream_retry};
     service_group& group = found->second;
     if (!wanted.retry)
-        this->count_demand(now, group);
+        this->count_demand(now, group, wanted);
     if (group.plan.empty())
         this->make_first_plan(now, group);
     const std::uint64_t object = wanted.object.empty()
@@ -501,7 +520,7 @@
     {
         candidate& each = candidates[rank];
         this->estimate(now, each, rank, wanted, group);
-        if (best == nullptr || each.expected < best->expected)
+        if (best == nullptr || each.cost < best->cost)
             best = &each;
     }
     const duration expected = to_duration(best->expected);
@@ -509,6 +528,13 @@
         return {.expected = expected,
                 .failure = selection_failure::too_late,
                 .retry_after = std::max(expected - wanted.time_left, least_retry)};
+    // A request that waits only to be late takes the slot from one that would be on time.
+    const bool waits = best->wait > 0 && best->expected < penalty;
+    const duration hoped = to_duration(best->hoped);
+    if (waits && wanted.objective > duration(0) && hoped > wanted.objective)
+        return {.expected = expected,
+                .failure = selection_failure::no_room,
+                .retry_after = std::max(hoped - wanted.objective, least_retry)};
     this->take_cold_token(now, *best->at, group);
     return {.found = true,
             .id = best->at->said.id,
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -85,6 +85,8 @@
     // Objects that one upstream is believed to know.
     std::size_t known_objects = 64;
     double cold_factor = 2.0; // work at a cold upstream
+    // Work on an unknown object counts this often when upstreams are compared.
+    double unknown_cost = 3.0;
     duration between_regions = std::chrono::milliseconds(24); // both ways
     duration between_data_centres = std::chrono::milliseconds(3);
     // Time that is worth spending to keep a body in its data centre, for each kilobyte:
@@ -92,7 +94,7 @@
     duration distance_per_kilobyte = std::chrono::milliseconds(3);
     // The plan moves at most this part of the requests in one interval: regions must not
     // change their load at once.
-    double plan_step = 0.025;
+    double plan_step = 0.008;
     duration plan_interval = std::chrono::milliseconds(500);
     duration demand_memory = std::chrono::seconds(3);
     // Busy part of all slots that the first plan expects.
@@ -118,6 +120,7 @@
     std::span<const std::string> more_homes; // both lists bind
     std::span<const std::string> excluded; // upstream ids
     duration time_left{0};
+    duration objective{0};     // an answer within it is on time; 0: none
     std::size_t body_size = 0; // bytes
     bool retry = false;        // not the first attempt
 };
@@ -127,6 +130,7 @@
     none,
     no_upstream, // none is known, or all are excluded, leaving or ejected
     too_late,    // the expected completion is after the time left
+    no_room,     // every slot is busy, and after the wait for one the answer would be late
 };
 
 struct selection
@@ -161,7 +165,15 @@
 struct service_demand
 {
     std::string service;
-    double rate = 0; // requests per second
+    double rate = 0; // requests per second that may run in any region
+    std::map<std::string, double> bound; // those that must run in a region, by region
+};
+
+// Requests per second for one service at the other VMs.
+struct remote_demand
+{
+    std::map<std::string, double> free;  // by data centre of the VMs
+    std::map<std::string, double> bound; // by the region in which they must run
 };
 
 class upstream_set
@@ -189,8 +201,7 @@
     // Demand at this VM, for the other VMs.
     std::vector<service_demand> local_demand(time_point now);
     // Demand at the other VMs, by their data centre.
-    using demand_by_place = std::map<std::string, double>;
-    void set_remote_demand(std::map<std::string, demand_by_place> by_service);
+    void set_remote_demand(std::map<std::string, remote_demand> by_service);
     // Moves the plans towards the demand. Call about twice a second.
     void tick(time_point now);
 
@@ -248,9 +259,10 @@
         double mean_time = 0;    // microseconds of work, average
         duration cold_time{0};
         double cold_rate = 0;
-        double demand = 0; // requests per second at this VM
+        double demand = 0; // requests per second at this VM that may run anywhere
+        std::map<std::string, double> bound; // those that must run in a region
         time_point decayed;
-        demand_by_place remote;
+        remote_demand remote;
         std::map<std::string, double> plan; // data centre to its part
         std::vector<std::string> plan_order;
         time_point planned; // last move of the plan
@@ -265,6 +277,8 @@
         double wait = 0; // microseconds, as the next ones
         double path = 0;
         double expected = 0;
+        double hoped = 0; // expected, if the first choice knows the object
+        double cost = 0;  // the least is chosen
     };
 
     struct evacuation
@@ -290,7 +304,7 @@
     void make_first_plan(time_point now, service_group& group);
     void move_plan(time_point now, service_group& group);
     void order_plan(service_group& group) const;
-    void count_demand(time_point now, service_group& group) const;
+    void count_demand(time_point now, service_group& group, const query& wanted) const;
     void decay_demand(time_point now, service_group& group) const;
     const std::string* planned(const service_group& group, std::uint64_t object_hash) const;
     int tier_of(const upstream& of, const std::string* planned) const;
