Test gateway and HTTP connections; send again what an upstream refused as not run

Cause: gateway_test showed that an order refused as not run was never sent to another upstream: the retry policy takes only idempotent or keyed requests. What did not run cannot run twice, so it is passed as repeatable. The HTTP tests found no fault.

--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -260,13 +260,15 @@
     }
 }
 
-// Sends the request to another upstream if route, time and budget allow it.
+// Sends the request to another upstream if route, time and budget allow it. Only for
+// requests that may run twice or have not run.
 bool gateway::retry(time_point now, exchange_id exchange, pending& of, bool not_run)
 {
     if (of.attempts >= of.route->most_attempts)
         return false;
     const retry::decision made = this->policy_of(of.service)
-                                     .after_failure(now, {.idempotent = !not_run,
+                                     // What did not run can't run twice.
+                                     .after_failure(now, {.idempotent = true,
                                                           .not_run = not_run,
                                                           .attempts = of.attempts,
                                                           .deadline = of.deadline});
--- /dev/null
+++ b/pistachiospan/gateway/gateway_test.cpp
@@ -0,0 +1,265 @@
+#include "pistachiospan/gateway/gateway.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace pistachiospan;
+using namespace std::chrono_literals;
+using gateway::attempt_end;
+using gateway::refusal;
+
+namespace
+{
+
+constexpr time_point start(1000s);
+
+// A gateway with two upstreams, and what it did.
+struct world
+{
+    world()
+        : known({.data_centre = "n1"}, {{"n1", "north"}}), allowances({}),
+          requests({}, {this->known, this->allowances},
+                   {.send =
+                        [this](const gateway::attempt& to)
+                    {
+                        this->sent.push_back(to);
+                        return static_cast<gateway::call_id>(this->sent.size());
+                    },
+                    .cancel = [this](gateway::call_id call)
+                    { this->cancelled.push_back(call); },
+                    .deliver =
+                        [this](gateway::exchange_id, const std::any& answer)
+                    { this->delivered.push_back(std::any_cast<int>(answer)); },
+                    .refuse = [this](gateway::exchange_id,
+                                     const gateway::refusal_answer& why)
+                    { this->refused.push_back(why); }})
+    {
+        for (const char* id : {"u1", "u2"})
+            this->known.update(start, {.id = id,
+                                       .service = "orders",
+                                       .address = id,
+                                       .data_centre = "n1",
+                                       .slots = 3});
+        this->requests.set_desired(start, std::make_shared<desired::state>(content()));
+    }
+
+    static desired::content content()
+    {
+        const auto route = [](const char* prefix, desired::repeatability kind)
+        {
+            return desired::route{.name = prefix,
+                                  .host = "a.example",
+                                  .prefix = prefix,
+                                  .kind = kind,
+                                  .timeout = 800ms,
+                                  .most_attempts = 2,
+                                  .targets = {{.service = "orders"}}};
+        };
+        desired::content all{
+            .version = 1,
+            .services = {{.name = "orders"}},
+            .accounts = {{.name = "shop", .keys = {"key"}},
+                         {.name = "small", .keys = {"small"}, .rate = 1, .burst = 1}},
+            .routes = {route("/read/", desired::repeatability::idempotent),
+                       route("/order/", desired::repeatability::once)}};
+        return all;
+    }
+
+    void ask(gateway::exchange_id id, const std::string& path,
+             const std::string& key = "key")
+    {
+        this->requests.submit(start, id,
+                              {.request_id = std::to_string(id),
+                               .host = "a.example",
+                               .path = path,
+                               .key = key,
+                               .time_left = 1s});
+    }
+
+    void end(gateway::exchange_id id, attempt_end how, int status = 200)
+    {
+        this->requests.finish_attempt(start + 10ms, id, this->sent.size(),
+                                      {.end = how, .status = status, .answer = status});
+    }
+
+    std::vector<gateway::attempt> sent;
+    std::vector<gateway::call_id> cancelled;
+    std::vector<int> delivered;
+    std::vector<gateway::refusal_answer> refused;
+    upstreams::upstream_set known;
+    allowance::ledger allowances;
+    gateway::gateway requests;
+};
+
+} // namespace
+
+// Guards against an order that runs twice after its answer was lost.
+BOOST_AUTO_TEST_CASE(order_is_not_repeated_when_it_may_have_run)
+{
+    for (const attempt_end how : {attempt_end::broken, attempt_end::timed_out})
+    {
+        world all;
+        all.ask(1, "/order/1");
+        all.end(1, how);
+        BOOST_TEST(all.sent.size() == 1U);
+        BOOST_TEST_REQUIRE(all.refused.size() == 1U);
+        BOOST_TEST(all.refused.front().may_have_run);
+    }
+}
+
+// Guards against a failure of an upstream that turns into a second run of an order.
+BOOST_AUTO_TEST_CASE(failed_order_is_delivered_as_it_is)
+{
+    world all;
+    all.ask(1, "/order/1");
+    all.end(1, attempt_end::answered, 500);
+    BOOST_TEST(all.sent.size() == 1U);
+    BOOST_TEST(all.delivered == std::vector<int>{500}, boost::test_tools::per_element());
+}
+
+// Guards against orders that are lost although no upstream ran them.
+BOOST_AUTO_TEST_CASE(order_that_did_not_run_goes_to_another_upstream)
+{
+    for (const attempt_end how :
+         {attempt_end::not_run, attempt_end::misdirected, attempt_end::not_sent})
+    {
+        world all;
+        all.ask(1, "/order/1");
+        all.end(1, how);
+        BOOST_TEST_REQUIRE(all.sent.size() == 2U);
+        BOOST_TEST(all.sent.at(0).upstream != all.sent.at(1).upstream);
+        all.end(1, attempt_end::answered);
+        BOOST_TEST(all.delivered.size() == 1U);
+    }
+}
+
+// Guards against a refusal that says "not run" after an attempt that may have run.
+BOOST_AUTO_TEST_CASE(not_run_is_said_only_when_no_attempt_can_have_run)
+{
+    world all;
+    all.ask(1, "/read/1");
+    all.end(1, attempt_end::broken);
+    BOOST_TEST_REQUIRE(all.sent.size() == 2U);
+    all.end(1, attempt_end::not_run);
+    BOOST_TEST_REQUIRE(all.refused.size() == 1U);
+    BOOST_TEST(all.refused.front().may_have_run);
+    world other;
+    other.ask(1, "/order/1");
+    other.end(1, attempt_end::not_run);
+    other.end(1, attempt_end::not_run);
+    BOOST_TEST_REQUIRE(other.refused.size() == 1U);
+    BOOST_TEST(!other.refused.front().may_have_run);
+    BOOST_TEST(other.refused.front().retry_after.count() > 0);
+}
+
+// Guards against more upstreams for one request than its route allows.
+BOOST_AUTO_TEST_CASE(attempts_are_bounded)
+{
+    world all;
+    all.ask(1, "/read/1");
+    all.end(1, attempt_end::broken);
+    all.end(1, attempt_end::broken);
+    BOOST_TEST(all.sent.size() == 2U);
+    BOOST_TEST(all.refused.size() == 1U);
+}
+
+// Guards against retries beyond the budget while all upstreams fail.
+BOOST_AUTO_TEST_CASE(retries_keep_to_the_budget)
+{
+    world all;
+    constexpr gateway::exchange_id requests = 400;
+    for (gateway::exchange_id id = 1; id <= requests; ++id)
+    {
+        all.ask(id, "/read/1");
+        // A success now and then keeps the upstreams in use.
+        all.end(id, attempt_end::answered, id % 3 == 0 ? 200 : 500);
+        if (id % 3 != 0)
+            all.end(id, attempt_end::answered, 200);
+    }
+    const gateway::counts totals = all.requests.totals();
+    BOOST_TEST(totals.retries > 0U);
+    // The platform's ratio and this gateway's reserve.
+    BOOST_TEST(totals.retries <= requests * 0.2 + 30);
+}
+
+// Guards against requests that run with an unknown key, no key or no route.
+BOOST_AUTO_TEST_CASE(unknown_key_and_route_are_refused)
+{
+    world all;
+    all.ask(1, "/order/1", "other");
+    all.ask(2, "/order/1", "");
+    all.ask(3, "/nothing/1");
+    BOOST_TEST(all.sent.empty());
+    BOOST_TEST_REQUIRE(all.refused.size() == 3U);
+    BOOST_TEST((all.refused.at(0).reason == refusal::no_key));
+    BOOST_TEST((all.refused.at(1).reason == refusal::no_key));
+    BOOST_TEST((all.refused.at(2).reason == refusal::no_route));
+}
+
+// Guards against a key that works after the version that withdraws it, on any connection.
+BOOST_AUTO_TEST_CASE(withdrawn_key_stops_at_once)
+{
+    world all;
+    all.ask(1, "/order/1");
+    desired::content next = world::content();
+    next.version = 2;
+    next.accounts.front().keys.clear();
+    all.requests.set_desired(start, std::make_shared<desired::state>(next));
+    all.ask(2, "/order/1");
+    BOOST_TEST(all.sent.size() == 1U);
+    BOOST_TEST((all.refused.front().reason == refusal::no_key));
+}
+
+// Guards against accounts over their rate, and against tokens lost to what did not run.
+BOOST_AUTO_TEST_CASE(rate_counts_only_what_may_run)
+{
+    world all;
+    all.ask(1, "/order/1", "small");
+    all.ask(2, "/order/1", "small");
+    BOOST_TEST((all.refused.front().reason == refusal::over_allowance));
+    BOOST_TEST(all.refused.front().retry_after.count() > 0);
+    all.end(1, attempt_end::not_run);
+    all.end(1, attempt_end::not_run);
+    all.ask(3, "/order/1", "small");
+    BOOST_TEST(all.sent.size() == 3U);
+}
+
+// Guards against work for a caller that has left, and against an order cut off midway.
+BOOST_AUTO_TEST_CASE(caller_that_left_stops_only_what_may_be_repeated)
+{
+    world all;
+    all.ask(1, "/read/1");
+    all.requests.caller_left(start, 1);
+    BOOST_TEST(all.cancelled.size() == 1U);
+    all.ask(2, "/order/1");
+    all.requests.caller_left(start, 2);
+    BOOST_TEST(all.cancelled.size() == 1U);
+    all.end(2, attempt_end::answered);
+    BOOST_TEST(all.delivered.empty());
+    BOOST_TEST(all.requests.totals().pending == 0U);
+}
+
+// Guards against an upstream that is given more time than the caller or the route has.
+BOOST_AUTO_TEST_CASE(time_left_is_passed_on)
+{
+    world all;
+    all.ask(1, "/read/1");
+    BOOST_TEST(all.sent.front().time_left.count() == duration(800ms).count());
+    all.end(1, attempt_end::broken);
+    BOOST_TEST(all.sent.at(1).time_left.count() == duration(790ms).count());
+}
+
+// Guards against a VM without a desired state that answers 404 or 401.
+BOOST_AUTO_TEST_CASE(no_desired_state_is_not_run)
+{
+    upstreams::upstream_set none({}, {});
+    allowance::ledger allowances({});
+    std::vector<gateway::refusal_answer> refused;
+    gateway::gateway fresh({}, {none, allowances},
+                           {.refuse = [&](gateway::exchange_id,
+                                          const gateway::refusal_answer& why)
+                            { refused.push_back(why); }});
+    fresh.submit(start, 1, {.request_id = "1", .host = "a", .path = "/"});
+    BOOST_TEST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST((refused.front().reason == refusal::no_desired_state));
+    BOOST_TEST(!refused.front().may_have_run);
+}
--- /dev/null
+++ b/pistachiospan/http1/http1_test.cpp
@@ -0,0 +1,318 @@
+#include "pistachiospan/event_loop/event_loop.hpp"
+#include "pistachiospan/http1/http1.hpp"
+#include "pistachiospan/http1/internal/socket.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+
+#include <csignal>
+
+using namespace pistachiospan;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string server_address = "127.0.0.1:18931";
+const std::string raw_address = "127.0.0.1:18932";
+
+// The daemon ignores the signal for a write to a closed connection, and so do the tests.
+struct ignore_broken_pipes
+{
+    ignore_broken_pipes()
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+    }
+};
+BOOST_GLOBAL_FIXTURE(ignore_broken_pipes);
+
+struct loop
+{
+    loop() : base(event_base_new(), &event_base_free) {}
+
+    // Runs until `done` says so, at most two seconds.
+    template <class Condition>
+    bool run(Condition done)
+    {
+        for (int step = 0; step < 400 && !done(); ++step)
+        {
+            event_loop::one_shot_timer wake(
+                this->base.get(), [this] { event_base_loopbreak(this->base.get()); });
+            wake.start(5ms);
+            event_base_dispatch(this->base.get());
+        }
+        return done();
+    }
+
+    std::unique_ptr<event_base, decltype(&event_base_free)> base;
+};
+
+// Accepts connections and answers the first bytes of each with fixed ones.
+struct raw_peer
+{
+    raw_peer(event_base* base, std::string bytes, bool close)
+        : bytes(std::move(bytes)), close(close), listener(nullptr, &evconnlistener_free)
+    {
+        const sockaddr_in local = http1::internal::parse_address(raw_address);
+        this->listener.reset(evconnlistener_new_bind(
+            base, &raw_peer::accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
+            reinterpret_cast<const sockaddr*>(&local), sizeof(local)));
+    }
+
+    static void accept(evconnlistener* from, evutil_socket_t socket, sockaddr*, int,
+                       void* self)
+    {
+        auto& me = *static_cast<raw_peer*>(self);
+        ++me.connections;
+        me.open.emplace_back(bufferevent_socket_new(evconnlistener_get_base(from), socket,
+                                                    BEV_OPT_CLOSE_ON_FREE));
+        bufferevent_setcb(me.open.back().get(), &raw_peer::read, &raw_peer::written,
+                          nullptr, self);
+        bufferevent_enable(me.open.back().get(), EV_READ | EV_WRITE);
+    }
+
+    static void read(bufferevent* from, void* self)
+    {
+        auto& me = *static_cast<raw_peer*>(self);
+        evbuffer* input = bufferevent_get_input(from);
+        std::string text(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, text.data(), text.size());
+        me.received += text;
+        bufferevent_write(from, me.bytes.data(), me.bytes.size());
+    }
+
+    static void written(bufferevent* to, void* self)
+    {
+        const auto& me = *static_cast<raw_peer*>(self);
+        if (me.close && !me.received.empty())
+            shutdown(bufferevent_getfd(to), SHUT_WR);
+    }
+
+    std::string bytes;
+    bool close;
+    std::unique_ptr<evconnlistener, decltype(&evconnlistener_free)> listener;
+    std::vector<http1::internal::bufferevent_ptr> open;
+    std::string received;
+    int connections = 0;
+};
+
+http1::request get(const std::string& id)
+{
+    return {.method = "GET", .target = "/x", .headers = {{"Id", id}}};
+}
+
+// One call to a peer that answers with these bytes.
+http1::call_result call_raw(const std::string& bytes, bool close = false)
+{
+    loop events;
+    raw_peer peer(events.base.get(), bytes, close);
+    http1::client client(events.base.get(), {.correlation_header = "Id"});
+    std::optional<http1::call_result> ended;
+    client.send(raw_address, get("7"), {.timeout = 300ms},
+                [&](http1::call_result result) { ended = std::move(result); });
+    events.run([&] { return ended.has_value(); });
+    return ended.value();
+}
+
+} // namespace
+
+// Guards against bodies, headers and targets that change on the way.
+BOOST_AUTO_TEST_CASE(request_and_answer_arrive_whole)
+{
+    loop events;
+    http1::request seen;
+    http1::server* at = nullptr;
+    http1::server server(events.base.get(), server_address,
+                         {.received = [&](http1::exchange_id id, http1::request&& whole)
+                          {
+                              seen = std::move(whole);
+                              at->respond(id, {.status = 201,
+                                               .headers = {{"Id", "7"}, {"A", "b"}},
+                                               .body = seen.body});
+                          }});
+    at = &server;
+    http1::client client(events.base.get(), {.correlation_header = "Id"});
+    const std::string body(200000, 'x');
+    std::vector<http1::call_result> ended;
+    for (int each = 0; each < 3; ++each)
+    {
+        client.send(server_address,
+                    {.method = "POST",
+                     .target = "/a/b?c=d",
+                     .headers = {{"Id", "7"}},
+                     .body = body},
+                    {.timeout = 1s},
+                    [&](http1::call_result result) { ended.push_back(std::move(result)); });
+        events.run([&] { return ended.size() == static_cast<std::size_t>(each) + 1; });
+    }
+    BOOST_TEST_REQUIRE(ended.size() == 3U);
+    BOOST_TEST(seen.target == "/a/b?c=d");
+    BOOST_TEST(seen.method == "POST");
+    BOOST_TEST((ended.back().end == http1::call_end::answered));
+    BOOST_TEST(ended.back().answer.status == 201);
+    BOOST_TEST(ended.back().answer.body == body);
+    BOOST_TEST(*http1::find_header(ended.back().answer.headers, "a") == "b");
+    BOOST_TEST(client.connections_opened() == 1U);
+}
+
+// Guards against a request that is not refused although no byte of it was sent.
+BOOST_AUTO_TEST_CASE(refused_connection_is_not_sent)
+{
+    loop events;
+    http1::client client(events.base.get(), {});
+    std::optional<http1::call_result> ended;
+    client.send("127.0.0.1:1", get("7"), {},
+                [&](http1::call_result result) { ended = std::move(result); });
+    events.run([&] { return ended.has_value(); });
+    BOOST_TEST((ended.value().end == http1::call_end::not_sent));
+}
+
+// Guards against a cut answer that passes for a whole one.
+BOOST_AUTO_TEST_CASE(cut_answers_are_broken)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 7\r\n";
+    for (const std::string& bytes :
+         {head + "Content-Length: 10\r\n\r\nabc",
+          head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", head,
+          std::string("nonsense")})
+        BOOST_TEST((call_raw(bytes, true).end == http1::call_end::broken));
+}
+
+// Guards against an answer without a length that is lost, or whose end is not awaited.
+BOOST_AUTO_TEST_CASE(answer_that_ends_with_its_connection_is_whole)
+{
+    const http1::call_result ended = call_raw("HTTP/1.1 200 OK\r\nId: 7\r\n\r\nabc", true);
+    BOOST_TEST((ended.end == http1::call_end::answered));
+    BOOST_TEST(ended.answer.body == "abc");
+}
+
+// Guards against the late answer to an earlier request that is taken for this one's.
+BOOST_AUTO_TEST_CASE(answer_to_another_request_is_dropped)
+{
+    const std::string other =
+        "HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 5\r\n\r\nother";
+    const std::string own = "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 3\r\n\r\nown";
+    const http1::call_result ended = call_raw(other + own);
+    BOOST_TEST((ended.end == http1::call_end::answered));
+    BOOST_TEST(ended.answer.body == "own");
+    BOOST_TEST((call_raw(other).end == http1::call_end::timed_out));
+}
+
+// Guards against a success without an id, and against refusals lost for lack of one.
+BOOST_AUTO_TEST_CASE(only_failures_may_lack_the_id)
+{
+    const http1::call_result refused =
+        call_raw("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+    BOOST_TEST((refused.end == http1::call_end::answered));
+    BOOST_TEST(refused.answer.status == 503);
+    const http1::call_result success =
+        call_raw("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    BOOST_TEST((success.end == http1::call_end::timed_out));
+}
+
+// Guards against a connection that is used again after bytes that belong to no request.
+BOOST_AUTO_TEST_CASE(connection_with_extra_bytes_is_not_used_again)
+{
+    loop events;
+    raw_peer peer(events.base.get(),
+                  "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 0\r\n\r\n"
+                  "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 0\r\n\r\n",
+                  false);
+    http1::client client(events.base.get(), {.correlation_header = "Id"});
+    int ended = 0;
+    for (int each = 0; each < 2; ++each)
+    {
+        client.send(raw_address, get("7"), {.timeout = 300ms},
+                    [&](const http1::call_result& result)
+                    { ended += result.end == http1::call_end::answered ? 1 : 0; });
+        events.run([&] { return ended == each + 1; });
+    }
+    BOOST_TEST(ended == 2);
+    BOOST_TEST(peer.connections == 2);
+}
+
+// Guards against a caller that leaves unnoticed while its answer is pending.
+BOOST_AUTO_TEST_CASE(caller_that_leaves_is_noticed)
+{
+    loop events;
+    bool received = false;
+    bool left = false;
+    http1::server server(
+        events.base.get(), server_address,
+        {.received = [&](http1::exchange_id, http1::request&&) { received = true; },
+         .left = [&](http1::exchange_id) { left = true; }});
+    http1::client client(events.base.get(), {});
+    const http1::call_id call =
+        client.send(server_address, get("7"), {}, [](const http1::call_result&) {});
+    events.run([&] { return received; });
+    client.cancel(call);
+    BOOST_TEST(events.run([&] { return left; }));
+    BOOST_TEST(server.pending() == 0U);
+}
+
+// Guards against requests smuggled in ambiguous framing, and against oversized ones.
+BOOST_AUTO_TEST_CASE(bad_requests_are_refused_and_closed)
+{
+    const std::vector<std::pair<std::string, int>> cases = {
+        {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
+        {"POST / HTTP/1.1\r\nContent-Length: 999\r\n\r\n", 413},
+        {"GET / HTTP/1.1\r\nA: " + std::string(5000, 'a') + "\r\n\r\n", 431},
+        {"nonsense\r\n\r\n", 400},
+        {"GET / HTTP/1.1\r\nA: unfinished", 408}};
+    for (const auto& [bytes, status] : cases)
+    {
+        loop events;
+        int received = 0;
+        http1::server server(
+            events.base.get(), server_address,
+            {.received = [&](http1::exchange_id, http1::request&&) { ++received; }});
+        server.set_limits(
+            {.max_header = 4096, .max_body = 100, .header_timeout = 100ms});
+        const http1::internal::bufferevent_ptr caller(
+            bufferevent_socket_new(events.base.get(), -1, BEV_OPT_CLOSE_ON_FREE));
+        bufferevent_enable(caller.get(), EV_READ | EV_WRITE);
+        const sockaddr_in to = http1::internal::parse_address(server_address);
+        bufferevent_socket_connect(caller.get(), reinterpret_cast<const sockaddr*>(&to),
+                                   sizeof(to));
+        bufferevent_write(caller.get(), bytes.data(), bytes.size());
+        const std::string expected = "HTTP/1.1 " + std::to_string(status);
+        evbuffer* input = bufferevent_get_input(caller.get());
+        BOOST_TEST(events.run([&] { return evbuffer_get_length(input) > expected.size(); }));
+        BOOST_TEST(http1::internal::peek(input, 100).substr(0, expected.size()) ==
+                   expected);
+        BOOST_TEST(received == 0);
+    }
+}
+
+// Guards against a stop that cuts off a request in progress.
+BOOST_AUTO_TEST_CASE(drain_answers_what_was_received)
+{
+    loop events;
+    http1::exchange_id pending = 0;
+    http1::server server(
+        events.base.get(), server_address,
+        {.received = [&](http1::exchange_id id, http1::request&&) { pending = id; }});
+    http1::client client(events.base.get(), {});
+    std::optional<http1::call_result> ended;
+    client.send(server_address, get("7"), {},
+                [&](http1::call_result result) { ended = std::move(result); });
+    events.run([&] { return pending != 0; });
+    server.stop_accepting();
+    server.close_idle();
+    server.respond(pending, {.status = 200, .headers = {{"Id", "7"}}});
+    events.run([&] { return ended.has_value(); });
+    BOOST_TEST((ended.value().end == http1::call_end::answered));
+    BOOST_TEST(*http1::find_header(ended.value().answer.headers, "Connection") == "close");
+    BOOST_TEST(events.run([&] { return server.connections() == 0; }));
+}
+
+// Guards against connection headers that are passed on.
+BOOST_AUTO_TEST_CASE(connection_headers_are_known)
+{
+    const http1::header_list all = {{"Connection", "close, X-Hop"}, {"X-Hop", "1"}};
+    BOOST_TEST(http1::is_connection_header(all, "x-hop"));
+    BOOST_TEST(http1::is_connection_header(all, "transfer-encoding"));
+    BOOST_TEST(!http1::is_connection_header(all, "Cookie"));
+}
