--- /dev/null
+++ b/tools/soak/soak.cpp
@@ -0,0 +1,440 @@
+#include "tools/soak/soak.hpp"
+
+#include "platform/names.hpp"
+
+#include <csignal>
+#include <iomanip>
+#include <sstream>
+
+namespace pistachiospan::soak
+{
+
+namespace
+{
+
+using event_loop::monotonic_now;
+using platform::testing::upstream_fault;
+namespace names = platform::names;
+
+// The platform's bounds, and the time without faults after which they hold.
+constexpr duration contact = std::chrono::seconds(3);
+constexpr duration desired_state_bound = std::chrono::seconds(2);
+constexpr duration drain_bound = std::chrono::seconds(2);
+constexpr duration recovery_bound = std::chrono::seconds(15);
+constexpr duration grace = std::chrono::seconds(3);
+
+constexpr duration step_length = std::chrono::milliseconds(10);
+constexpr duration start_time = std::chrono::seconds(2);
+constexpr duration restart_delay = std::chrono::milliseconds(300);
+constexpr duration least_pause = std::chrono::milliseconds(100); // between two faults
+constexpr std::uint64_t pause_spread_ms = 1100;
+
+// Of the requests after the recovery.
+constexpr double least_served = 0.95;
+
+std::string numbered(const std::string& text, std::size_t number)
+{
+    return text + std::to_string(number);
+}
+
+} // namespace
+
+soak::soak(event_base* base, soak_options given)
+    : base(base), options(std::move(given)), random(this->options.seed),
+      began(monotonic_now()), now(this->began), store(base, this->address("0.1:18990")),
+      callers(base, this->options.seed + 1)
+{
+    this->put_desired_state();
+    for (std::size_t index = 0; index < this->options.upstreams; ++index)
+        this->make_upstream(index);
+    for (std::size_t index = 0; index < this->options.vms; ++index)
+    {
+        const std::string link = this->address("0.1:1899") + std::to_string(index + 1);
+        this->store_links.push_back(
+            std::make_unique<fault_proxy>(base, link, this->address("0.1:18990")));
+        this->vms.push_back(std::make_unique<vm_process>(
+            vm_options{.daemon = this->options.daemon,
+                       .directory = this->options.directory,
+                       .name = numbered("vm-", index + 1),
+                       .ip = this->address("1.") + std::to_string(index + 1),
+                       .store = link}));
+    }
+}
+
+// An address of this run's own part of the loopback range.
+std::string soak::address(const std::string& rest) const
+{
+    return "127." + std::to_string(this->options.network) + '.' + rest;
+}
+
+void soak::make_upstream(std::size_t index)
+{
+    upstream_state made{.id = numbered("u", index)};
+    const std::string address = this->address("2.") + std::to_string(index + 1) + ":18080";
+    made.entry_address = this->address("3.") + std::to_string(index + 1) + ":18080";
+    made.server = std::make_unique<platform::testing::upstream_standin>(this->base, made.id,
+                                                                        address);
+    made.link = std::make_unique<fault_proxy>(this->base, made.entry_address, address);
+    made.server->set_work(std::chrono::milliseconds(20));
+    this->put_entry(made);
+    this->upstreams.push_back(std::move(made));
+    this->upstreams.back().server->on_run(
+        [this, index](const http1::request& seen)
+        { this->note_run(this->upstreams.at(index), seen); });
+}
+
+void soak::put_entry(const upstream_state& of)
+{
+    const bool draining = of.draining_since != time_point();
+    this->store.put("servers", of.id,
+                    R"({"service":"orders","address":")" + of.entry_address +
+                        R"(","zone":"n1","version":"v1","slots":5,"state":")" +
+                        (draining ? "draining" : "ready") +
+                        R"(","coldRemainingMs":0,"sequence":1,"born":1700000000000})");
+}
+
+void soak::put_desired_state()
+{
+    ++this->version;
+    const std::string key = numbered("key-", static_cast<std::size_t>(this->key_number));
+    const auto route = [](const char* name, const char* kind)
+    {
+        return nlohmann::json{{"name", name},
+                              {"prefix", std::string("/") + name + "/"},
+                              {"kind", kind},
+                              {"timeoutMs", 900},
+                              {"targetLatencyMs", 200},
+                              {"service", "orders"},
+                              {"maxAttempts", 2},
+                              {"public", false},
+                              {"stickySessions", true}};
+    };
+    const nlohmann::json state = {
+        {"version", "r" + std::to_string(this->version)},
+        {"services", {{{"name", "orders"}, {"coldStartS", 1.0}, {"coldPerS", 14.0}}}},
+        {"limits",
+         {{"maxHeaderBytes", 16384},
+          {"maxBodyBytes", 100000},
+          {"headerTimeoutMs", 3000},
+          {"idleTimeoutMs", 15000}}},
+        {"tenants", {{{"name", "shop"}, {"apiKeys", {key}}, {"ratePerS", 0}}}},
+        {"hosts",
+         {{{"host", "a.example"},
+           {"paths", {route("read", "safe"), route("order", "unsafe")}}}}}};
+    this->store.put("op", "config", state.dump());
+}
+
+std::size_t soak::pick(std::size_t count)
+{
+    return this->random() % count;
+}
+
+void soak::note(const std::string& event)
+{
+    std::ostringstream line;
+    line << std::fixed << std::setprecision(3)
+         << std::chrono::duration<double>(this->now - this->began).count() << " s  " << event;
+    this->happened.push_back(line.str());
+}
+
+void soak::break_promise(const std::string& what)
+{
+    this->note("BROKEN " + what);
+    this->broken.push_back(this->happened.back());
+}
+
+// The platform's "in touch", for a VM and for the store.
+bool soak::in_touch(const vm_process& vm) const
+{
+    return vm.running() && !vm.paused && vm.stop_begun == time_point() &&
+           this->now - vm.last_fault > contact &&
+           this->now - this->store_fault_until > contact;
+}
+
+void soak::note_run(const upstream_state& at, const http1::request& seen)
+{
+    const auto value = [&seen](std::string_view name)
+    {
+        const std::string* found = http1::find_header(seen.headers, name);
+        return found == nullptr ? std::string() : *found;
+    };
+    const std::string id = value(names::request_id);
+    ++this->runs[id];
+    const auto found = this->callers.all().find(id);
+    if (found == this->callers.all().end())
+    {
+        this->break_promise("a request ran that no caller sent: " + id);
+        return;
+    }
+    const sent_request& of = found->second;
+    if (!value(names::authorization).empty() || value(names::account) != "shop")
+        this->break_promise("upstream saw a key or another account: " + id);
+    if (of.order && this->runs[id] > 1)
+        this->break_promise("order ran twice: " + id);
+    const bool leaving = at.draining_since != time_point() &&
+                         this->now - at.draining_since > drain_bound;
+    if (leaving && this->in_touch(*of.vm) && of.sent > at.draining_since + drain_bound)
+        this->break_promise("request " + id + " reached leaving " + at.id);
+    const auto key = this->withdrawn.find(of.key);
+    if (key != this->withdrawn.end() && this->in_touch(*of.vm) &&
+        of.sent > key->second + desired_state_bound)
+        this->break_promise("request " + id + " ran with a withdrawn key");
+}
+
+void soak::disturb_vm()
+{
+    vm_process& vm = *this->vms.at(this->pick(this->vms.size()));
+    if (!vm.running())
+        return;
+    switch (this->pick(5))
+    {
+    case 0:
+        this->note("kill " + vm.name());
+        vm.signal(SIGKILL);
+        break;
+    case 1:
+        if (vm.stop_begun == time_point())
+            vm.stop_begun = this->now;
+        vm.clean_stop = !vm.paused && this->in_touch(vm);
+        this->note("terminate " + vm.name());
+        vm.signal(SIGTERM);
+        return;
+    case 2:
+        this->note("pause " + vm.name());
+        vm.signal(SIGSTOP);
+        vm.paused = true;
+        break;
+    case 3:
+        this->note("resume " + vm.name());
+        vm.signal(SIGCONT);
+        vm.paused = false;
+        break;
+    default:
+        this->note("reload " + vm.name());
+        vm.signal(SIGHUP);
+        return;
+    }
+    vm.last_fault = this->now;
+    vm.clean_stop = false;
+}
+
+void soak::disturb_link()
+{
+    const auto fault = static_cast<link_fault>(this->pick(5));
+    const std::string kind = numbered("link fault ", static_cast<std::size_t>(fault));
+    if (this->pick(2) == 0)
+    {
+        const std::size_t index = this->pick(this->vms.size());
+        this->note(kind + " between store and " + this->vms.at(index)->name());
+        this->store_links.at(index)->set_fault(fault);
+        this->vms.at(index)->last_fault = this->now;
+        // A link that stays harmed keeps its VM out of touch.
+        if (fault != link_fault::none)
+            this->vms.at(index)->last_fault = this->now + std::chrono::hours(1);
+        return;
+    }
+    upstream_state& at = this->upstreams.at(this->pick(this->upstreams.size()));
+    this->note(kind + " before " + at.id);
+    at.link->set_fault(fault);
+    for (const auto& vm : this->vms)
+        vm->clean_stop = false;
+}
+
+void soak::disturb_store()
+{
+    using platform::testing::store_fault;
+    this->store_fault = static_cast<platform::testing::store_fault>(this->pick(4));
+    this->store.set_fault(this->store_fault);
+    if (this->pick(4) == 0)
+        this->store.forget_history();
+    this->store_fault_until = this->now;
+    this->note(numbered("store fault ", static_cast<std::size_t>(this->store_fault)));
+}
+
+void soak::change_keys()
+{
+    this->withdrawn[numbered("key-", static_cast<std::size_t>(this->key_number))] =
+        this->now;
+    ++this->key_number;
+    this->put_desired_state();
+    this->note("withdraw a key");
+}
+
+void soak::change_upstream()
+{
+    upstream_state& at = this->upstreams.at(this->pick(this->upstreams.size()));
+    const bool was_draining = at.draining_since != time_point();
+    if (this->pick(3) == 0)
+    {
+        const auto fault = static_cast<upstream_fault>(this->pick(5));
+        at.server->set_fault(fault);
+        this->note(at.id + numbered(" fault ", static_cast<std::size_t>(fault)));
+        return;
+    }
+    at.draining_since = was_draining ? time_point() : this->now;
+    this->put_entry(at);
+    this->note(at.id + (was_draining ? " ready" : " draining"));
+}
+
+void soak::disturb()
+{
+    const std::size_t kind = this->pick(10);
+    if (kind < 3)
+        this->disturb_vm();
+    else if (kind < 5)
+        this->disturb_link();
+    else if (kind < 6)
+        this->disturb_store();
+    else if (kind < 8)
+        this->change_upstream();
+    else
+        this->change_keys();
+}
+
+void soak::collect_processes()
+{
+    for (const auto& vm : this->vms)
+    {
+        if (!vm->running() && this->now - vm->last_fault > restart_delay)
+        {
+            this->note("start " + vm->name());
+            vm->start(this->now);
+        }
+        const bool clean = vm->clean_stop;
+        if (vm->collect(this->now) && clean)
+            ++this->checked_stops;
+        if (clean && vm->running() && this->now - vm->stop_begun > grace)
+        {
+            this->break_promise(vm->name() + " outlasted the grace time");
+            vm->clean_stop = false;
+            vm->signal(SIGKILL);
+        }
+    }
+}
+
+void soak::step()
+{
+    event_loop::one_shot_timer wake(this->base,
+                                    [this] { event_base_loopbreak(this->base); });
+    wake.start(step_length);
+    event_base_dispatch(this->base);
+    this->now = monotonic_now();
+    if (this->store_fault != platform::testing::store_fault::none)
+        this->store_fault_until = this->now;
+    this->collect_processes();
+    this->due += this->options.requests_per_second *
+                 std::chrono::duration<double>(step_length).count();
+    for (; this->due >= 1; this->due -= 1)
+    {
+        // Some callers have not heard of the new key.
+        const int number =
+            this->pick(5) == 0 ? std::max(this->key_number - 1, 0) : this->key_number;
+        this->callers.send(this->now, *this->vms.at(this->pick(this->vms.size())),
+                           numbered("key-", static_cast<std::size_t>(number)));
+    }
+}
+
+void soak::run_for(duration span)
+{
+    const time_point end = monotonic_now() + span;
+    while (this->now < end)
+        this->step();
+}
+
+void soak::heal()
+{
+    this->note("heal");
+    this->store_fault = platform::testing::store_fault::none;
+    this->store.set_fault(this->store_fault);
+    for (const auto& link : this->store_links)
+        link->set_fault(link_fault::none);
+    for (const auto& vm : this->vms)
+    {
+        vm->signal(SIGCONT);
+        vm->paused = false;
+        vm->last_fault = this->now;
+    }
+    for (upstream_state& each : this->upstreams)
+    {
+        each.link->set_fault(link_fault::none);
+        each.server->set_fault(upstream_fault::none);
+        each.draining_since = {};
+        this->put_entry(each);
+    }
+}
+
+void soak::check_orders()
+{
+    for (const auto& [id, each] : this->callers.all())
+    {
+        const auto ran = this->runs.find(id);
+        const bool promised = each.status == 408 || each.status == 421 ||
+                              each.status == 429 || each.status == 503;
+        if (each.order && promised && ran != this->runs.end())
+            this->break_promise("order " + id + " ran and was answered " +
+                                std::to_string(each.status));
+        if (each.status == 200 && ran == this->runs.end())
+            this->break_promise("request " + id + " was answered and did not run");
+    }
+    for (const std::string& id : this->callers.foreign())
+        this->break_promise("request " + id + " got another one's answer");
+}
+
+// A clean stop cuts off no request that an upstream runs.
+void soak::check_stops()
+{
+    for (const auto& [id, each] : this->callers.all())
+        if (each.during_clean_stop && each.status == 0 && this->runs.contains(id))
+            this->break_promise("request " + id + " was cut off by a clean stop");
+}
+
+void soak::check_recovery()
+{
+    const time_point from = this->now;
+    this->run_for(std::chrono::seconds(2));
+    std::size_t sent = 0;
+    std::size_t served = 0;
+    const std::string key = numbered("key-", static_cast<std::size_t>(this->key_number));
+    for (const auto& [id, each] : this->callers.all())
+        if (each.sent >= from && each.key == key &&
+            this->now - each.sent > std::chrono::seconds(1))
+        {
+            ++sent;
+            served += each.status == 200 ? 1 : 0;
+        }
+    if (static_cast<double>(served) < least_served * static_cast<double>(sent))
+        this->break_promise("after the recovery " + std::to_string(served) + " of " +
+                            std::to_string(sent) + " requests were served");
+}
+
+std::vector<std::string> soak::play()
+{
+    for (const auto& vm : this->vms)
+        vm->start(this->now);
+    this->run_for(start_time);
+    const time_point end = this->now + this->options.length;
+    while (this->now < end)
+    {
+        this->disturb();
+        // Series of faults follow each other without a pause.
+        if (this->pick(4) != 0)
+            this->run_for(least_pause +
+                          std::chrono::milliseconds(this->pick(pause_spread_ms)));
+    }
+    this->heal();
+    this->run_for(recovery_bound / 2);
+    this->check_recovery();
+    this->check_orders();
+    this->check_stops();
+    return this->broken;
+}
+
+std::string soak::summary() const
+{
+    const auto [sent, served] = this->callers.served_since(time_point());
+    return std::to_string(sent) + " requests, " + std::to_string(served) + " served, " +
+           std::to_string(this->happened.size()) + " events, " +
+           std::to_string(this->checked_stops) + " clean stops";
+}
+
+} // namespace pistachiospan::soak
