--- a/pistachiospan/daemon/daemon.cpp
+++ b/pistachiospan/daemon/daemon.cpp
@@ -4,6 +4,7 @@
 #include "pistachiospan/daemon/internal/metrics.hpp"
 #include "pistachiospan/daemon/internal/peer_links.hpp"
 #include "pistachiospan/entry/node.hpp"
+#include "pistachiospan/event_loop/event_loop.hpp"
 #include "pistachiospan/store_http/store_http.hpp"
 #include "pistachiospan/upstream_client/upstream_client.hpp"
 
@@ -21,9 +22,11 @@
 {
 
 using internal::caller_listener;
-using internal::event_ptr;
+using event_loop::event_ptr;
+using event_loop::monotonic_now;
+using event_loop::periodic_timer;
+using event_loop::wall_now;
 using internal::peer_links;
-using internal::periodic_timer;
 using internal::plain_answer;
 
 constexpr int status_ok = 200;
@@ -33,17 +36,6 @@
 constexpr std::string_view lookup_path = "/.well-known/pistachiospan/lookup";
 constexpr std::string_view offer_path = "/.well-known/pistachiospan/offer";
 
-time_point monotonic_now()
-{
-    return time_point(std::chrono::duration_cast<duration>(
-        std::chrono::steady_clock::now().time_since_epoch()));
-}
-
-wall_time wall_now()
-{
-    return std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
-}
-
 log4cplus::Logger logger()
 {
     static const log4cplus::Logger instance =
--- a/pistachiospan/daemon/internal/caller_listener.cpp
+++ b/pistachiospan/daemon/internal/caller_listener.cpp
@@ -166,7 +166,7 @@
                                 static_cast<ev_ssize_t>(this->options.max_header));
     evhttp_set_max_body_size(this->server,
                              static_cast<ev_ssize_t>(this->options.max_body));
-    const timeval idle = to_timeval(this->options.idle_timeout);
+    const timeval idle = event_loop::to_timeval(this->options.idle_timeout);
     evhttp_set_timeout_tv(this->server, &idle);
     evhttp_set_allowed_methods(this->server, EVHTTP_REQ_GET | EVHTTP_REQ_HEAD |
                                                  EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
--- a/pistachiospan/daemon/internal/caller_listener.hpp
+++ b/pistachiospan/daemon/internal/caller_listener.hpp
@@ -3,7 +3,7 @@
 #ifndef PISTACHIOSPAN_DAEMON_INTERNAL_CALLER_LISTENER_HPP
 #define PISTACHIOSPAN_DAEMON_INTERNAL_CALLER_LISTENER_HPP
 
-#include "pistachiospan/daemon/internal/event_timer.hpp"
+#include "pistachiospan/event_loop/event_loop.hpp"
 #include "pistachiospan/entry/pipeline.hpp"
 
 #include <chrono>
@@ -103,7 +103,7 @@
     std::uint64_t next_serial = 1;
     evconnlistener* listener = nullptr;
     std::unordered_map<bufferevent*, std::unique_ptr<line>> lines;
-    std::optional<periodic_timer> sweeper;
+    std::optional<event_loop::periodic_timer> sweeper;
 };
 
 } // namespace pistachiospan::daemon::internal
--- a/pistachiospan/event_loop/event_loop.hpp
+++ b/pistachiospan/event_loop/event_loop.hpp
@@ -18,8 +18,10 @@
 namespace pistachiospan::event_loop
 {
 
+// At least one microsecond: to some calls of libevent zero means no time-out.
 inline timeval to_timeval(duration span)
 {
+    span = std::max(span, duration(1));
     const auto seconds = std::chrono::floor<std::chrono::seconds>(span);
     return {.tv_sec = seconds.count(), .tv_usec = (span - seconds).count()};
 }
@@ -91,7 +93,7 @@
     // Replaces an earlier start().
     void start(duration span)
     {
-        const timeval value = to_timeval(std::max(span, duration(0)));
+        const timeval value = to_timeval(span);
         event_add(this->timer.get(), &value);
     }
 
--- a/pistachiospan/peer_transport/peer_client.cpp
+++ b/pistachiospan/peer_transport/peer_client.cpp
@@ -1,5 +1,6 @@
 #include "pistachiospan/peer_transport/internal/connection.hpp"
 #include "pistachiospan/peer_transport/peer_transport.hpp"
+#include "pistachiospan/event_loop/event_loop.hpp"
 
 #include <event2/event.h>
 #include <event2/util.h>
@@ -13,14 +14,9 @@
 namespace
 {
 
-constexpr int status_ok = 200;
+using pistachiospan::event_loop::to_timeval;
 
-timeval to_timeval(duration span)
-{
-    constexpr std::int64_t microseconds_per_second = 1'000'000;
-    const std::int64_t count = std::max<std::int64_t>(span.count(), 1);
-    return {count / microseconds_per_second, count % microseconds_per_second};
-}
+constexpr int status_ok = 200;
 
 } // namespace
 
--- a/pistachiospan/store_http/internal/http_client.cpp
+++ b/pistachiospan/store_http/internal/http_client.cpp
@@ -1,6 +1,7 @@
 #include "pistachiospan/store_http/internal/http_client.hpp"
 
 #include "pistachiospan/store_http/internal/protocol.hpp"
+#include "pistachiospan/event_loop/event_loop.hpp"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -18,15 +19,11 @@
 namespace
 {
 
+using pistachiospan::event_loop::to_timeval;
+
 // Largest header of an answer, in bytes.
 constexpr ev_ssize_t max_header = ev_ssize_t{16} * 1024;
 
-timeval to_timeval(duration span)
-{
-    const auto seconds = std::chrono::floor<std::chrono::seconds>(span);
-    return {.tv_sec = seconds.count(), .tv_usec = (span - seconds).count()};
-}
-
 struct endpoint
 {
     std::string host;
--- a/pistachiospan/upstream_client/upstream_client.cpp
+++ b/pistachiospan/upstream_client/upstream_client.cpp
@@ -1,4 +1,5 @@
 #include "pistachiospan/upstream_client/upstream_client.hpp"
+#include "pistachiospan/event_loop/event_loop.hpp"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -19,6 +20,8 @@
 namespace
 {
 
+using pistachiospan::event_loop::to_timeval;
+
 constexpr std::array<std::pair<std::string_view, evhttp_cmd_type>, 7> methods{
     {{"GET", EVHTTP_REQ_GET},
      {"HEAD", EVHTTP_REQ_HEAD},
@@ -38,13 +41,6 @@
     return std::nullopt;
 }
 
-timeval to_timeval(duration span)
-{
-    constexpr std::int64_t microseconds_per_second = 1'000'000;
-    const std::int64_t count = std::max<std::int64_t>(span.count(), 1);
-    return {count / microseconds_per_second, count % microseconds_per_second};
-}
-
 struct endpoint
 {
     std::string host;
--- a/standin/common/event.cpp
+++ b/standin/common/event.cpp
@@ -43,12 +43,6 @@
     return base;
 }
 
-timeval to_timeval(duration span)
-{
-    const auto seconds = std::chrono::floor<std::chrono::seconds>(span);
-    return {.tv_sec = seconds.count(), .tv_usec = (span - seconds).count()};
-}
-
 time_point now()
 {
     const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
--- a/standin/common/event.hpp
+++ b/standin/common/event.hpp
@@ -3,7 +3,7 @@
 #ifndef PISTACHIOSPAN_STANDIN_COMMON_EVENT_HPP
 #define PISTACHIOSPAN_STANDIN_COMMON_EVENT_HPP
 
-#include "pistachiospan/base/base.hpp"
+#include "pistachiospan/event_loop/event_loop.hpp"
 
 #include <event2/event.h>
 #include <event2/http.h>
@@ -27,7 +27,7 @@
 // A loop with the given or the default back end. Throws std::runtime_error.
 event_owner<event_base> make_loop();
 
-timeval to_timeval(duration span);
+using event_loop::to_timeval;
 
 // Time of the process on the monotonic time line.
 time_point now();
--- a/tools/pistachioctl/pistachioctl.cpp
+++ b/tools/pistachioctl/pistachioctl.cpp
@@ -4,6 +4,7 @@
 #include "pistachiospan/ctl/ctl.hpp"
 #include "pistachiospan/ini/ini.hpp"
 #include "pistachiospan/store_http/store_http.hpp"
+#include "pistachiospan/event_loop/event_loop.hpp"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -21,6 +22,8 @@
 namespace
 {
 
+using pistachiospan::event_loop::to_timeval;
+
 constexpr std::size_t max_status_size = std::size_t{64} * 1024;
 
 struct command_line
@@ -50,12 +53,6 @@
 
 using loop = std::unique_ptr<event_base, base_deleter>;
 
-timeval to_timeval(duration span)
-{
-    const auto micros = span.count();
-    return {.tv_sec = micros / 1'000'000, .tv_usec = micros % 1'000'000};
-}
-
 void call_after(event_base* base, duration delay, std::function<void()> call)
 {
     const timeval wait = to_timeval(delay);
