Let one VM of each region read the store and the others follow it

Ruled out: longer reads alone, since a connection that goes silent would hide a version for as long.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -28,7 +28,14 @@
 constexpr duration exit_margin = std::chrono::milliseconds(400);
 constexpr duration exit_check = std::chrono::milliseconds(50);
 
-constexpr duration read_vms_interval = std::chrono::seconds(10);
+constexpr duration read_vms_interval = std::chrono::seconds(60);
+
+// While the store does not answer, and others do, it is tried again after this time.
+constexpr duration store_retry = std::chrono::milliseconds(700);
+// A VM that knows less than another one for this long reads the store itself.
+constexpr duration behind_limit = std::chrono::milliseconds(900);
+// Least time between two reads for a version that another VM has.
+constexpr duration hurry_interval = std::chrono::milliseconds(400);
 constexpr duration register_retry = std::chrono::seconds(1);
 
 // Descriptors kept for everything but callers' connections.
@@ -48,6 +55,12 @@
 // One in this many routine answers is logged.
 constexpr std::uint64_t answer_sample = 32;
 
+// Rises with each start of a process on this VM.
+std::uint64_t process_number()
+{
+    return static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
+}
+
 double milliseconds_of(duration span)
 {
     return static_cast<double>(span.count()) / 1000;
@@ -85,9 +98,12 @@
     void remove_upstream(const std::string& id);
 
     void tick();
+    void publish_changes();
     void send_report(time_point now);
     void receive_report(std::string_view datagram);
-    void recover_from_peer(time_point now);
+    std::string choose_source(time_point now);
+    bool reaches_store() const;
+    void catch_up(time_point now);
     void share_demand(time_point now);
     void read_vms();
     void register_self();
@@ -131,7 +147,13 @@
     incarnation started;
     bool stopping = false;
     bool accepting = true;
-    bool fetching = false;
+    std::uint64_t published_operator = 0; // cursors
+    std::uint64_t published_registry = 0;
+    std::uint64_t answered_operator = 0; // changes of others that led to a read
+    std::uint64_t answered_registry = 0;
+    time_point store_tried;
+    time_point behind_since;
+    time_point hurried;
     time_point stop_begun;
     time_point ready_since;
 };
@@ -148,11 +170,12 @@
                 .retry_reserve = this->options.retry_reserve},
                {this->known_upstreams, this->allowances}, this->make_gateway_hooks()),
       upstream_client(base, {.correlation_header = this->words.correlation_header}),
-      operator_rows({}, {.changed = [this](const mirror::row& row)
-                         { this->change_operator_row(row); },
-                         .removed = [this](const std::string&)
-                         { this->change_evacuations(); }}),
-      registry({.removal_grace = removal_grace},
+      operator_rows({.instance = process_number()},
+                    {.changed = [this](const mirror::row& row)
+                     { this->change_operator_row(row); },
+                     .removed = [this](const std::string&)
+                     { this->change_evacuations(); }}),
+      registry({.removal_grace = removal_grace, .instance = process_number()},
                {.changed = [this](const mirror::row& row) { this->change_upstream(row); },
                 .removed = [this](const std::string& id)
                 { this->remove_upstream(id); }}),
@@ -167,22 +190,21 @@
                }}),
       peers(base, this->options.peers,
             {.received = [this](std::string_view bytes) { this->receive_report(bytes); },
-             .tables =
-                 [this]
+             .copy = [this](table wanted) -> const mirror::table_mirror&
              {
-                 return internal::peer_tables{this->operator_rows.whole(),
-                                              this->registry.whole()};
+                 return wanted == table::operator_rows ? this->operator_rows
+                                                       : this->registry;
              }}),
-      follow_operator(base, {.followed = table::operator_rows}, this->store,
+      follow_operator(base, {.followed = table::operator_rows}, this->store, this->peers,
                       this->operator_rows, this->make_follower_hooks("operator_rows")),
       follow_registry(base, {.followed = table::upstreams, .pace = upstream_pace},
-                      this->store, this->registry,
+                      this->store, this->peers, this->registry,
                       this->make_follower_hooks("upstreams")),
       ticker(base, this->options.report_interval, [this] { this->tick(); }),
       vm_reader(base, [this] { this->read_vms(); }),
       registrar(base, [this] { this->register_self(); }),
       exit_timer(base, [this] { this->finish_when_idle(); }),
-      started(static_cast<incarnation>(wall_now().time_since_epoch().count()))
+      started(process_number())
 {
     const auto serve = [this](const std::string& address, auto answer)
     {
@@ -227,14 +249,18 @@
 internal::follower_hooks
 edge_daemon::implementation::make_follower_hooks(std::string name)
 {
-    return {.lost =
+    return {.choose = [this] { return this->choose_source(monotonic_now()); },
+            .lost =
                 [this, name](const error& problem)
             {
-                this->numbers.count_store_read(name, false);
                 this->log("store_lost", {{"table", name}, {"problem", problem.message}});
             },
             .regained = [this, name] { this->log("store_regained", {{"table", name}}); },
-            .read = [this, name] { this->numbers.count_store_read(name, true); }};
+            .read = [this, name](bool from_store, bool good)
+            {
+                this->numbers.count_read(name, from_store, good);
+                this->publish_changes();
+            }};
 }
 
 void edge_daemon::implementation::take_request(http1::exchange_id id,
@@ -391,11 +417,23 @@
     const time_point now = monotonic_now();
     this->registry.tick(now);
     this->operator_rows.tick(now);
+    this->publish_changes();
     for (const vm_id& silent : this->vms.expire(now))
         this->log("vm_lost", {{"peer", silent.value}});
     this->share_demand(now);
     this->send_report(now);
-    this->recover_from_peer(now);
+    this->catch_up(now);
+}
+
+// Tells the VMs that follow this one what has changed since the last call.
+void edge_daemon::implementation::publish_changes()
+{
+    if (std::exchange(this->published_operator, this->operator_rows.cursor()) !=
+        this->operator_rows.cursor())
+        this->peers.publish(table::operator_rows);
+    if (std::exchange(this->published_registry, this->registry.cursor()) !=
+        this->registry.cursor())
+        this->peers.publish(table::upstreams);
 }
 
 void edge_daemon::implementation::send_report(time_point now)
@@ -410,8 +448,9 @@
                       .ready = this->ready(),
                       .draining = this->stopping,
                       .desired_version = active == nullptr ? 0 : active->version(),
-                      .store_position = std::max(this->registry.position(),
-                                                 this->operator_rows.position()),
+                      .reaches_store = this->reaches_store(),
+                      .operator_change = this->operator_rows.newest_change(),
+                      .registry_change = this->registry.newest_change(),
                       .demand = this->allowances.report_demand(now),
                       .services = this->known_upstreams.local_demand(now)};
     this->vms.set_self(own);
@@ -445,48 +484,69 @@
     const desired::state* active = this->requests.active();
     const std::uint64_t own = active == nullptr ? 0 : active->version();
     // The own read may hang on a connection that has gone silent.
-    if (version > own && this->follow_operator.reachable())
+    if (version > own && this->reaches_store() && now - this->hurried >= hurry_interval)
     {
         this->log("desired_state_behind",
                   {{"peer", name}, {"peer_version", version}, {"active", own}});
+        this->hurried = now;
         this->follow_operator.hurry();
     }
 }
 
-// Takes the tables of a VM that has seen a newer state of the store, while this VM can't
-// reach the store itself.
-void edge_daemon::implementation::recover_from_peer(time_point now)
+// One VM of each region reads the store and the others follow it, so that the store's
+// calls do not grow with the number of VMs. Without one that reaches the store, the region
+// follows another region's reader, or whoever knows more.
+std::string edge_daemon::implementation::choose_source(time_point now)
 {
-    const bool reachable =
-        this->follow_operator.reachable() && this->follow_registry.reachable();
-    if (reachable || this->fetching)
+    if (const fleet::peer* reader = this->vms.reader(now))
+        return reader->said.peer_address;
+    if (this->reaches_store() || now - this->store_tried >= store_retry)
+    {
+        this->store_tried = now;
+        return {};
+    }
+    if (const fleet::peer* remote = this->vms.remote_reader(now))
+        return remote->said.peer_address;
+    if (const fleet::peer* best =
+            this->vms.best_informed(now, this->operator_rows.newest_change(),
+                                    this->registry.newest_change()))
+        return best->said.peer_address;
+    return {};
+}
+
+bool edge_daemon::implementation::reaches_store() const
+{
+    return this->follow_operator.reaches_store() && this->follow_registry.reaches_store();
+}
+
+// The VM that this one follows may itself hang on a dead connection.
+void edge_daemon::implementation::catch_up(time_point now)
+{
+    // A read answers each report once: a removal that was seen as a missing row leaves this
+    // VM with a lower number for good.
+    const std::uint64_t operator_change =
+        std::max(this->operator_rows.newest_change(), this->answered_operator);
+    const std::uint64_t registry_change =
+        std::max(this->registry.newest_change(), this->answered_registry);
+    const fleet::peer* best =
+        this->vms.best_informed(now, operator_change, registry_change);
+    if (best == nullptr)
+    {
+        this->behind_since = now;
         return;
-    const fleet::peer* best = this->vms.best_informed(now);
-    const std::uint64_t own =
-        std::min(this->operator_rows.position(), this->registry.position());
-    if (best == nullptr || best->said.store_position <= own)
+    }
+    if (now - this->behind_since < behind_limit)
         return;
-    this->fetching = true;
-    const std::string name = best->said.vm.value;
-    this->peers.fetch(
-        best->said.peer_address,
-        [this, name](const result<internal::peer_tables>& given)
-        {
-            this->fetching = false;
-            if (!given)
-            {
-                this->log("peer_tables_failed",
-                          {{"peer", name}, {"problem", given.error().message}});
-                return;
-            }
-            const internal::peer_tables& tables = given.value();
-            this->operator_rows.apply_whole(monotonic_now(), tables.operator_rows,
-                                            mirror::origin::peer);
-            this->registry.apply_whole(monotonic_now(), tables.upstreams,
-                                       mirror::origin::peer);
-            this->log("peer_tables",
-                      {{"peer", name}, {"position", tables.upstreams.position}});
-        });
+    this->behind_since = now;
+    this->answered_operator = std::max(operator_change, best->said.operator_change);
+    this->answered_registry = std::max(registry_change, best->said.registry_change);
+    this->log("tables_behind", {{"peer", best->said.vm.value},
+                                {"peer_operator_change", best->said.operator_change},
+                                {"operator_change", this->operator_rows.newest_change()},
+                                {"peer_registry_change", best->said.registry_change},
+                                {"registry_change", this->registry.newest_change()}});
+    this->follow_operator.hurry();
+    this->follow_registry.hurry();
 }
 
 void edge_daemon::implementation::share_demand(time_point now)
--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -8,8 +8,8 @@
 using event_loop::monotonic_now;
 
 follower::follower(event_base* base, follower_options options, const store_access& store,
-                   mirror::table_mirror& copy, follower_hooks hooks)
-    : options(options), store(store), copy(copy), hooks(std::move(hooks)),
+                   peer_link& peers, mirror::table_mirror& copy, follower_hooks hooks)
+    : options(options), store(store), peers(peers), copy(copy), hooks(std::move(hooks)),
       next(base, [this] { this->read(); }), backoff(options.first_backoff)
 {
     this->next.start(duration(0));
@@ -17,9 +17,53 @@
 
 void follower::read()
 {
-    const std::uint64_t number = ++this->reads;
-    const bool whole = this->whole_needed;
+    ++this->reads;
     this->began = monotonic_now();
+    const bool at_store = std::exchange(this->store_first, false);
+    const std::string peer = at_store ? std::string() : this->hooks.choose();
+    if (peer.empty())
+        this->read_store();
+    else
+        this->read_peer(peer);
+}
+
+void follower::read_peer(const std::string& address)
+{
+    this->relay_call = this->peers.fetch(
+        address,
+        {.followed = this->options.followed,
+         .instance = this->relay_instance,
+         .cursor = this->relay_cursor,
+         .wait = this->options.wait},
+        [this, number = this->reads](const result<mirror::relay_page>& outcome)
+        { this->finish_relayed(number, outcome); });
+}
+
+void follower::finish_relayed(std::uint64_t number,
+                              const result<mirror::relay_page>& outcome)
+{
+    if (number != this->reads)
+        return;
+    const time_point now = monotonic_now();
+    if (!outcome)
+    {
+        this->hooks.read(false, false);
+        this->store_first = true;
+        this->next.start(duration(0));
+        return;
+    }
+    const mirror::relay_page& given = outcome.value();
+    this->copy.apply_relayed(now, given);
+    this->hooks.read(false, true);
+    this->relay_instance = given.instance;
+    this->relay_cursor = given.cursor;
+    this->next.start(this->began + this->options.pace - now);
+}
+
+void follower::read_store()
+{
+    const std::uint64_t number = this->reads;
+    const bool whole = this->whole_needed;
     const auto done = [this, number, whole](const result<mirror::page>& outcome)
     { this->finish(number, outcome, whole); };
     if (whole)
@@ -52,7 +96,7 @@
         this->in_reach = true;
         this->hooks.regained();
     }
-    this->hooks.read();
+    this->hooks.read(true, true);
     this->next.start(this->began + this->options.pace - now);
 }
 
@@ -65,6 +109,7 @@
         return;
     }
     this->copy.note_outage(monotonic_now());
+    this->hooks.read(true, false);
     if (this->in_reach)
     {
         this->in_reach = false;
@@ -78,6 +123,8 @@
 {
     ++this->reads;
     this->store.interrupt(this->options.followed);
+    this->peers.cancel(this->relay_call);
+    this->store_first = true;
     this->next.start(duration(0));
 }
 
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -1,9 +1,10 @@
-// Follows one table of the platform's store into a mirror.
+// Follows one table of the platform's store into a mirror, at the store or at another VM.
 
 #ifndef PISTACHIOSPAN_EDGE_INTERNAL_FOLLOWER_HPP
 #define PISTACHIOSPAN_EDGE_INTERNAL_FOLLOWER_HPP
 
 #include "pistachiospan/edge/edge.hpp"
+#include "pistachiospan/edge/internal/peer_link.hpp"
 #include "pistachiospan/event_loop/event_loop.hpp"
 
 namespace pistachiospan::edge::internal
@@ -22,37 +23,47 @@
 
 struct follower_hooks
 {
-    std::function<void(const error&)> lost;   // the first failure after a success
-    std::function<void()> regained = nullptr; // the first success after a failure
-    std::function<void()> read = nullptr;     // each success
+    // Peer address of the VM to follow; empty: the store.
+    std::function<std::string()> choose;
+    std::function<void(const error&)> lost;   // the first failure of the store
+    std::function<void()> regained = nullptr; // its first success after that
+    std::function<void(bool from_store, bool good)> read = nullptr; // each read
 };
 
 class follower
 {
 public:
     follower(event_base* base, follower_options options, const store_access& store,
-             mirror::table_mirror& copy, follower_hooks hooks);
+             peer_link& peers, mirror::table_mirror& copy, follower_hooks hooks);
 
-    // Gives up a pending read, which may hang on a dead connection, and reads at once.
+    // Gives up a pending read, which may hang on a dead connection, and reads the store.
     void hurry();
-    bool reachable() const
+    bool reaches_store() const
     {
         return this->in_reach;
     }
 
 private:
     void read();
+    void read_store();
+    void read_peer(const std::string& address);
+    void finish_relayed(std::uint64_t number, const result<mirror::relay_page>& outcome);
     void finish(std::uint64_t number, const result<mirror::page>& outcome, bool whole);
     void fail(const error& problem);
 
     follower_options options;
     const store_access& store;
+    peer_link& peers;
     mirror::table_mirror& copy;
     follower_hooks hooks;
     event_loop::one_shot_timer next;
     std::uint64_t reads = 0; // numbers the reads; an interrupted one is ignored
     bool whole_needed = true;
-    bool in_reach = true;
+    bool in_reach = true;     // of the store
+    bool store_first = false; // the next read goes to the store whatever is chosen
+    http1::call_id relay_call = 0;
+    std::uint64_t relay_instance = 0;
+    std::uint64_t relay_cursor = 0;
     duration backoff;
     time_point began;
 };
--- a/pistachiospan/edge/internal/metrics.hpp
+++ b/pistachiospan/edge/internal/metrics.hpp
@@ -23,7 +23,8 @@
     metrics();
 
     void count(const gateway::record& made);
-    void count_store_read(std::string_view table, bool good);
+    // A read of a table of the store, at the store or at another VM.
+    void count_read(std::string_view table, bool from_store, bool good);
     void set(const std::string& name, double value);
 
     std::string render();
@@ -34,7 +35,7 @@
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter>& requests;
     prometheus::Family<prometheus::Histogram>& latency;
-    prometheus::Family<prometheus::Counter>& store_reads;
+    prometheus::Family<prometheus::Counter>& reads;
     prometheus::Family<prometheus::Gauge>& gauges;
     std::map<std::string, prometheus::Histogram*> by_route;
 };
--- a/pistachiospan/edge/internal/peer_link.hpp
+++ b/pistachiospan/edge/internal/peer_link.hpp
@@ -1,9 +1,10 @@
-// Datagrams between the VMs, and the tables that a VM hands to one that can't reach the
-// platform's store.
+// Datagrams between the VMs, and the tables of the platform's store that one VM hands to
+// another: one VM of a region reads the store, the others follow it.
 
 #ifndef PISTACHIOSPAN_EDGE_INTERNAL_PEER_LINK_HPP
 #define PISTACHIOSPAN_EDGE_INTERNAL_PEER_LINK_HPP
 
+#include "pistachiospan/edge/edge.hpp"
 #include "pistachiospan/event_loop/event_loop.hpp"
 #include "pistachiospan/fleet/fleet.hpp"
 #include "pistachiospan/http1/http1.hpp"
@@ -14,16 +15,21 @@
 namespace pistachiospan::edge::internal
 {
 
-struct peer_tables
-{
-    mirror::page operator_rows;
-    mirror::page upstreams;
-};
+using relay_handler = std::function<void(result<mirror::relay_page>)>;
 
 struct peer_link_hooks
 {
     std::function<void(std::string_view datagram)> received;
-    std::function<peer_tables()> tables;
+    std::function<const mirror::table_mirror&(table)> copy;
+};
+
+// What a VM asks another for.
+struct relay_query
+{
+    table followed = table::operator_rows;
+    std::uint64_t instance = 0; // of the copy that the cursor counts in
+    std::uint64_t cursor = 0;
+    duration wait{0}; // for a change
 };
 
 class peer_link
@@ -38,18 +44,34 @@
     // A datagram that can't be sent is dropped; the next report replaces it.
     void send(std::string_view datagram, std::span<const std::string> addresses);
 
-    // Asks a VM for its tables. Errors: unavailable, invalid_argument.
-    void fetch(const std::string& address,
-               std::function<void(result<peer_tables>)> done);
+    // Asks a VM for its changes. Errors: unavailable, invalid_argument.
+    http1::call_id fetch(const std::string& address, const relay_query& query,
+                         relay_handler done);
+    void cancel(http1::call_id call);
+
+    // Answers the VMs that wait for a change of this table.
+    void publish(table changed);
 
 private:
+    struct waiting_query
+    {
+        http1::exchange_id exchange = 0;
+        relay_query query;
+        time_point until;
+    };
+
     void receive();
+    void answer(http1::exchange_id exchange, const http1::request& asked);
+    void respond(http1::exchange_id exchange, const relay_query& query);
+    void expire();
 
     peer_link_hooks hooks;
     int socket = -1;
     event_loop::event_ptr readable;
     http1::server tables;
     http1::client client;
+    std::vector<waiting_query> waiting;
+    event_loop::periodic_timer expiry;
     std::unordered_map<std::string, sockaddr_in> parsed;
 };
 
--- a/pistachiospan/edge/metrics.cpp
+++ b/pistachiospan/edge/metrics.cpp
@@ -27,10 +27,10 @@
                   .Name("pistachiospan_request_seconds")
                   .Help("Time to the answer of an upstream by route")
                   .Register(this->registry)),
-      store_reads(prometheus::BuildCounter()
-                      .Name("pistachiospan_store_reads_total")
-                      .Help("Reads of the platform's store by table and outcome")
-                      .Register(this->registry)),
+      reads(prometheus::BuildCounter()
+                .Name("pistachiospan_table_reads_total")
+                .Help("Reads of the store's tables by table, source and outcome")
+                .Register(this->registry)),
       gauges(prometheus::BuildGauge()
                  .Name("pistachiospan_state")
                  .Help("Present state of the daemon by name")
@@ -60,10 +60,12 @@
             .Observe(std::chrono::duration<double>(made.elapsed).count());
 }
 
-void metrics::count_store_read(std::string_view table, bool good)
+void metrics::count_read(std::string_view table, bool from_store, bool good)
 {
-    this->store_reads
-        .Add({{"table", std::string(table)}, {"outcome", good ? "good" : "failed"}})
+    this->reads
+        .Add({{"table", std::string(table)},
+              {"source", from_store ? "store" : "vm"},
+              {"outcome", good ? "good" : "failed"}})
         .Increment();
 }
 
--- a/pistachiospan/edge/peer_link.cpp
+++ b/pistachiospan/edge/peer_link.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <sstream>
 #include <system_error>
 
 namespace pistachiospan::edge::internal
@@ -15,9 +16,9 @@
 
 constexpr std::size_t max_datagram = 65000; // bytes
 constexpr int most_datagrams = 64;          // read in one turn of the loop
-constexpr duration fetch_timeout = std::chrono::milliseconds(800);
-
-constexpr std::string_view tables_path = "/tables";
+// Time for one answer, besides the time for which the other VM was asked to wait.
+constexpr duration fetch_timeout = std::chrono::milliseconds(600);
+constexpr duration expiry_interval = std::chrono::milliseconds(250);
 
 std::optional<sockaddr_in> parse(const std::string& address)
 {
@@ -42,44 +43,31 @@
     return made;
 }
 
-std::string pack(const peer_tables& from)
+// "/table/instance/cursor/wait", the last in microseconds.
+std::string target_of(const relay_query& query)
 {
-    nlohmann::json all = nlohmann::json::array();
-    for (const mirror::page* each : {&from.operator_rows, &from.upstreams})
-    {
-        const std::string bytes = mirror::encode(*each);
-        all.push_back(nlohmann::json::binary({bytes.begin(), bytes.end()}));
-    }
-    std::string packed;
-    nlohmann::json::to_msgpack(all, packed);
-    return packed;
+    std::ostringstream target;
+    target << '/' << static_cast<int>(query.followed) << '/' << query.instance << '/'
+           << query.cursor << '/' << query.wait.count();
+    return target.str();
 }
 
-result<mirror::page> unpack_page(const nlohmann::json& from)
+std::optional<relay_query> parse_target(const std::string& target)
 {
-    const nlohmann::json::binary_t& bytes = from.get_binary();
-    return mirror::decode({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
-}
-
-result<peer_tables> unpack(std::string_view packed)
-{
-    try
+    std::istringstream fields(target);
+    std::array<std::uint64_t, 4> numbers{};
+    for (std::uint64_t& each : numbers)
     {
-        const nlohmann::json all = nlohmann::json::from_msgpack(packed);
-        result<mirror::page> rows = unpack_page(all.at(0));
-        result<mirror::page> upstreams = unpack_page(all.at(1));
-        if (!rows)
-            return rows.error();
-        if (!upstreams)
-            return upstreams.error();
-        return peer_tables{std::move(rows.value()), std::move(upstreams.value())};
-    }
-    catch (const nlohmann::json::exception& problem)
-    {
-        return failure(errc::invalid_argument,
-                       std::string("tables of a VM are malformed: ") + problem.what() +
-                           "; run one version on all VMs");
+        char slash = 0;
+        if (!(fields >> slash >> each) || slash != '/')
+            return std::nullopt;
     }
+    if (numbers[0] > static_cast<std::uint64_t>(table::upstreams))
+        return std::nullopt;
+    return relay_query{.followed = static_cast<table>(numbers[0]),
+                       .instance = numbers[1],
+                       .cursor = numbers[2],
+                       .wait = duration(static_cast<std::int64_t>(numbers[3]))};
 }
 
 } // namespace
@@ -92,16 +80,15 @@
           { static_cast<peer_link*>(self)->receive(); },
           this)),
       tables(base, address,
-             {.received =
-                  [this](http1::exchange_id exchange, const http1::request& asked)
+             {.received = [this](http1::exchange_id exchange, const http1::request& asked)
+              { this->answer(exchange, asked); },
+              .left =
+                  [this](http1::exchange_id exchange)
               {
-                  if (asked.target == tables_path)
-                      this->tables.respond(
-                          exchange, {.status = 200, .body = pack(this->hooks.tables())});
-                  else
-                      this->tables.respond(exchange, {.status = 404});
+                  std::erase_if(this->waiting, [exchange](const waiting_query& each)
+                                { return each.exchange == exchange; });
               }}),
-      client(base, {})
+      client(base, {}), expiry(base, expiry_interval, [this] { this->expire(); })
 {
     event_add(this->readable.get(), nullptr);
 }
@@ -140,20 +127,81 @@
     }
 }
 
-void peer_link::fetch(const std::string& address,
-                      std::function<void(result<peer_tables>)> done)
+http1::call_id peer_link::fetch(const std::string& address, const relay_query& query,
+                                relay_handler done)
 {
-    this->client.send(
-        address, {.method = "GET", .target = std::string(tables_path)},
-        {.timeout = fetch_timeout},
+    return this->client.send(
+        address, {.method = "GET", .target = target_of(query)},
+        {.timeout = query.wait + fetch_timeout},
         [done = std::move(done)](const http1::call_result& ended)
         {
             if (ended.end == http1::call_end::answered && ended.answer.status == 200)
-                done(unpack(ended.answer.body));
+                done(mirror::decode(ended.answer.body));
             else
-                done(failure(errc::unavailable, "the VM gave no tables (" +
-                                                    ended.detail + "); ask another"));
+                done(failure(errc::unavailable, "the VM gave no changes (" + ended.detail +
+                                                    "); ask another or the store"));
         });
 }
 
+void peer_link::cancel(http1::call_id call)
+{
+    this->client.cancel(call);
+}
+
+void peer_link::answer(http1::exchange_id exchange, const http1::request& asked)
+{
+    const std::optional<relay_query> query = parse_target(asked.target);
+    if (!query)
+    {
+        this->tables.respond(exchange, {.status = 404});
+        return;
+    }
+    const mirror::relay_page now_known =
+        this->hooks.copy(query->followed).changes_since(query->instance, query->cursor);
+    if (now_known.whole || !now_known.content.rows.empty())
+        this->tables.respond(exchange, {.status = 200, .body = mirror::encode(now_known)});
+    else
+        this->waiting.push_back({.exchange = exchange,
+                                 .query = *query,
+                                 .until = event_loop::monotonic_now() + query->wait});
+}
+
+void peer_link::respond(http1::exchange_id exchange, const relay_query& query)
+{
+    const mirror::relay_page page =
+        this->hooks.copy(query.followed).changes_since(query.instance, query.cursor);
+    this->tables.respond(exchange, {.status = 200, .body = mirror::encode(page)});
+}
+
+void peer_link::publish(table changed)
+{
+    std::vector<waiting_query> ready;
+    std::erase_if(this->waiting,
+                  [&](const waiting_query& each)
+                  {
+                      if (each.query.followed != changed)
+                          return false;
+                      ready.push_back(each);
+                      return true;
+                  });
+    for (const waiting_query& each : ready)
+        this->respond(each.exchange, each.query);
+}
+
+void peer_link::expire()
+{
+    const time_point now = event_loop::monotonic_now();
+    std::vector<waiting_query> over;
+    std::erase_if(this->waiting,
+                  [&](const waiting_query& each)
+                  {
+                      if (now < each.until)
+                          return false;
+                      over.push_back(each);
+                      return true;
+                  });
+    for (const waiting_query& each : over)
+        this->respond(each.exchange, each.query);
+}
+
 } // namespace pistachiospan::edge::internal
--- a/pistachiospan/fleet/fleet.cpp
+++ b/pistachiospan/fleet/fleet.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::size_t report_fields = 12;
+constexpr std::size_t report_fields = 14;
 
 std::vector<allowance::demand> difference(const std::vector<allowance::demand>& before,
                                           const std::vector<allowance::demand>& after)
@@ -39,7 +39,8 @@
         from.vm.value,       from.started,        from.sequence,
         from.data_centre,    from.peer_address,   from.caller_address,
         from.ready,          from.draining,       from.desired_version,
-        from.store_position, std::move(demand),   std::move(services)};
+        from.reaches_store,  from.operator_change, from.registry_change,
+        std::move(demand),   std::move(services)};
     std::string bytes;
     nlohmann::json::to_msgpack(all, bytes);
     return bytes;
@@ -62,12 +63,14 @@
                     .ready = all[6].get<bool>(),
                     .draining = all[7].get<bool>(),
                     .desired_version = all[8].get<std::uint64_t>(),
-                    .store_position = all[9].get<std::uint64_t>()};
-        for (const auto& [account, figures] : all[10].items())
+                    .reaches_store = all[9].get<bool>(),
+                    .operator_change = all[10].get<std::uint64_t>(),
+                    .registry_change = all[11].get<std::uint64_t>()};
+        for (const auto& [account, figures] : all[12].items())
             made.demand.push_back({.account = account,
                                    .rate = figures.at(0).get<double>(),
                                    .part = figures.at(1).get<double>()});
-        for (const auto& [service, figures] : all[11].items())
+        for (const auto& [service, figures] : all[13].items())
             made.services.push_back(
                 {.service = service,
                  .rate = figures.at(0).get<double>(),
@@ -147,13 +150,45 @@
     return static_cast<std::size_t>(live) + 1;
 }
 
-const peer* membership::best_informed(time_point now) const
+const peer* membership::reader(time_point now) const
+{
+    const std::string region = this->region_of(this->options.data_centre);
+    for (const auto& [name, each] : this->peers)
+    {
+        // The VMs are ordered by name.
+        if (this->options.self < name && this->self.reaches_store)
+            return nullptr;
+        if (this->is_live(now, each) && each.said.reaches_store && !each.said.draining &&
+            this->region_of(each.said.data_centre) == region)
+            return &each;
+    }
+    return nullptr;
+}
+
+const peer* membership::remote_reader(time_point now) const
+{
+    const std::string region = this->region_of(this->options.data_centre);
+    for (const auto& [name, each] : this->peers)
+        if (this->is_live(now, each) && each.said.reaches_store && !each.said.draining &&
+            this->region_of(each.said.data_centre) != region)
+            return &each;
+    return nullptr;
+}
+
+const peer* membership::best_informed(time_point now, std::uint64_t operator_change,
+                                      std::uint64_t registry_change) const
 {
     const peer* best = nullptr;
     for (const auto& [name, each] : this->peers)
-        if (this->is_live(now, each) &&
-            (best == nullptr || each.said.store_position > best->said.store_position))
-            best = &each;
+    {
+        const bool more = each.said.operator_change > operator_change ||
+                          each.said.registry_change > registry_change;
+        if (!more || !this->is_live(now, each))
+            continue;
+        best = &each;
+        operator_change = std::max(operator_change, each.said.operator_change);
+        registry_change = std::max(registry_change, each.said.registry_change);
+    }
     return best;
 }
 
--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -34,7 +34,10 @@
     bool ready = false;         // serves callers
     bool draining = false;      // stops soon
     std::uint64_t desired_version = 0;
-    std::uint64_t store_position = 0; // newest state of the store that it has seen
+    bool reaches_store = true;        // its last read of the store succeeded
+    // Newest changes that it knows: of the operator's rows and of the registry.
+    std::uint64_t operator_change = 0;
+    std::uint64_t registry_change = 0;
     std::vector<allowance::demand> demand;             // by client account
     std::vector<upstreams::service_demand> services;   // by service
 };
@@ -95,8 +98,14 @@
     std::size_t live_count(time_point now) const;
     // VMs that take requests or may do so, this one included.
     std::size_t known_count() const;
-    // The live peer with the newest view of the store; null without any.
-    const peer* best_informed(time_point now) const;
+    // Who reads the store for this VM's region, while that VM is heard: the first by name of
+    // those that reach the store. Null: this VM itself, or none that it hears.
+    const peer* reader(time_point now) const;
+    // The reader of another region; null without any.
+    const peer* remote_reader(time_point now) const;
+    // The live VM that knows the newest changes; null if none knows more than these.
+    const peer* best_informed(time_point now, std::uint64_t operator_change,
+                              std::uint64_t registry_change) const;
 
     // What the other VMs said, by client account.
     std::map<std::string, allowance::remote_share> remote_shares(time_point now) const;
--- a/pistachiospan/fleet/fleet_test.cpp
+++ b/pistachiospan/fleet/fleet_test.cpp
@@ -114,3 +114,39 @@
     BOOST_TEST(!fleet::decode("not a report").has_value());
     BOOST_TEST(!fleet::decode("").has_value());
 }
+
+// Guards against a region in which every VM reads the store, or none does.
+BOOST_AUTO_TEST_CASE(one_vm_of_a_region_reads_the_store)
+{
+    fleet::membership vms = make("n1"); // vm-0 in the north
+    vms.observe(start, report_of("vm-1", "n2"));
+    vms.observe(start, report_of("vm-2", "s1"));
+    BOOST_TEST(vms.reader(start) == nullptr);
+    vms.observe(start, report_of("a-first", "n2"));
+    BOOST_TEST(vms.reader(start)->said.vm.value == "a-first");
+    // Silent, stopping or cut off from the store: the next one reads.
+    BOOST_TEST(vms.reader(start + 5s) == nullptr);
+    fleet::report cut_off = report_of("a-first", "n2", 2);
+    cut_off.reaches_store = false;
+    vms.observe(start, cut_off);
+    BOOST_TEST(vms.reader(start) == nullptr);
+    fleet::report own = report_of("vm-0", "n1");
+    own.reaches_store = false;
+    vms.set_self(own);
+    BOOST_TEST(vms.reader(start)->said.vm.value == "vm-1");
+    BOOST_TEST(vms.remote_reader(start)->said.vm.value == "vm-2");
+}
+
+// Guards against a VM that follows one whose view of the store stands still.
+BOOST_AUTO_TEST_CASE(newer_changes_elsewhere_are_noticed)
+{
+    fleet::membership vms = make("n1");
+    fleet::report newer = report_of("a", "n1");
+    newer.operator_change = 5;
+    newer.registry_change = 9;
+    vms.observe(start, newer);
+    BOOST_TEST(vms.best_informed(start, 5, 9) == nullptr);
+    BOOST_TEST(vms.best_informed(start, 5, 8) != nullptr);
+    BOOST_TEST(vms.best_informed(start, 4, 9) != nullptr);
+    BOOST_TEST(vms.best_informed(start + 5s, 0, 0) == nullptr);
+}
--- a/pistachiospan/mirror/mirror.cpp
+++ b/pistachiospan/mirror/mirror.cpp
@@ -5,30 +5,36 @@
 namespace pistachiospan::mirror
 {
 
-std::string encode(const page& from)
+std::string encode(const relay_page& from)
 {
     nlohmann::json rows = nlohmann::json::array();
-    for (const row& each : from.rows)
-        rows.push_back({each.key, nlohmann::json::binary({each.value.begin(),
-                                                          each.value.end()}),
-                        each.version});
+    for (const row& each : from.content.rows)
+        rows.push_back({each.key,
+                        nlohmann::json::binary({each.value.begin(), each.value.end()}),
+                        each.version, each.deleted});
+    const nlohmann::json all = {from.instance, from.cursor, from.whole,
+                                from.content.position, std::move(rows)};
     std::string bytes;
-    nlohmann::json::to_msgpack({from.position, std::move(rows)}, bytes);
+    nlohmann::json::to_msgpack(all, bytes);
     return bytes;
 }
 
-result<page> decode(std::string_view bytes)
+result<relay_page> decode(std::string_view bytes)
 {
     try
     {
         const nlohmann::json all = nlohmann::json::from_msgpack(bytes);
-        page made{.position = all.at(0).get<std::uint64_t>()};
-        for (const nlohmann::json& each : all.at(1))
+        relay_page made{.content = {.position = all.at(3).get<std::uint64_t>()},
+                        .whole = all.at(2).get<bool>(),
+                        .instance = all.at(0).get<std::uint64_t>(),
+                        .cursor = all.at(1).get<std::uint64_t>()};
+        for (const nlohmann::json& each : all.at(4))
         {
             const nlohmann::json::binary_t& value = each.at(1).get_binary();
-            made.rows.push_back({.key = each.at(0).get<std::string>(),
-                                 .value = std::string(value.begin(), value.end()),
-                                 .version = each.at(2).get<std::uint64_t>()});
+            made.content.rows.push_back({.key = each.at(0).get<std::string>(),
+                                         .value = std::string(value.begin(), value.end()),
+                                         .version = each.at(2).get<std::uint64_t>(),
+                                         .deleted = each.at(3).get<bool>()});
         }
         return made;
     }
@@ -52,20 +58,37 @@
     if (kept.version >= given.version)
         return;
     kept = given;
+    this->remember(given);
     this->hooks.changed(given);
 }
 
-void table_mirror::remove(const std::string& key)
+void table_mirror::remember(const row& change)
+{
+    this->last_change = std::max(this->last_change, change.version);
+    ++this->changes;
+    this->history.push_back(change);
+    if (this->history.size() > this->options.history)
+        this->history.pop_front();
+}
+
+void table_mirror::remove(const std::string& key, std::uint64_t version)
 {
     this->doomed.erase(key);
-    if (this->rows.erase(key) > 0)
-        this->hooks.removed(key);
+    const auto found = this->rows.find(key);
+    if (found == this->rows.end())
+        return;
+    const row gone{.key = key, .version = version, .deleted = true};
+    this->rows.erase(found);
+    this->remember(gone);
+    this->hooks.removed(key);
 }
 
-void table_mirror::remove_later(time_point now, const std::string& key)
+void table_mirror::remove_later(time_point now, const std::string& key,
+                                std::uint64_t version)
 {
     if (this->rows.contains(key))
-        this->doomed.emplace(key, now + this->options.removal_grace);
+        this->doomed.emplace(
+            key, removal{.due = now + this->options.removal_grace, .version = version});
 }
 
 // Returns true if the read that has just succeeded is the first after an outage.
@@ -86,27 +109,29 @@
         present.insert(each.key);
         this->set(each);
     }
-    std::vector<std::string> missing;
+    std::vector<row> missing;
     for (const auto& [key, each] : this->rows)
         if (!present.contains(key))
-            missing.push_back(key);
-    for (const std::string& key : missing)
+            missing.push_back(each);
+    for (const row& each : missing)
     {
+        // The version of the removal itself is not known.
         if (after_outage)
-            this->remove_later(now, key);
+            this->remove_later(now, each.key, each.version);
         else
-            this->remove(key);
+            this->remove(each.key, each.version);
     }
     this->newest = all.position;
 }
 
-void table_mirror::apply_changes(time_point now, const page& changes)
+void table_mirror::apply_changes(time_point now, const page& changes, origin from)
 {
     if (changes.position < this->newest)
         return;
-    const bool after_outage = this->end_outage(now);
+    const bool after_outage = from == origin::store && this->end_outage(now);
     for (const row& each : changes.rows)
     {
+        this->last_change = std::max(this->last_change, each.version);
         const auto known = this->rows.find(each.key);
         const bool older = known != this->rows.end() && known->second.version > each.version;
         if (older)
@@ -114,9 +139,9 @@
         if (!each.deleted)
             this->set(each);
         else if (after_outage)
-            this->remove_later(now, each.key);
+            this->remove_later(now, each.key, each.version);
         else
-            this->remove(each.key);
+            this->remove(each.key, each.version);
     }
     this->newest = changes.position;
 }
@@ -131,12 +156,39 @@
 
 void table_mirror::tick(time_point now)
 {
-    std::vector<std::string> over;
-    for (const auto& [key, until] : this->doomed)
-        if (now >= until)
-            over.push_back(key);
-    for (const std::string& key : over)
-        this->remove(key);
+    std::vector<std::pair<std::string, std::uint64_t>> over;
+    for (const auto& [key, each] : this->doomed)
+        if (now >= each.due)
+            over.emplace_back(key, each.version);
+    for (const auto& [key, version] : over)
+        this->remove(key, version);
+}
+
+void table_mirror::apply_relayed(time_point now, const relay_page& given)
+{
+    if (given.whole)
+        this->apply_whole(now, given.content, origin::peer);
+    else
+        this->apply_changes(now, given.content, origin::peer);
+}
+
+relay_page table_mirror::changes_since(std::uint64_t instance, std::uint64_t cursor) const
+{
+    relay_page made{.content = {.position = this->newest},
+                    .instance = this->options.instance,
+                    .cursor = this->changes};
+    const std::uint64_t missing = this->changes - cursor;
+    const bool known = instance == this->options.instance && cursor <= this->changes &&
+                       missing <= this->history.size();
+    if (!known)
+    {
+        made.whole = true;
+        made.content = this->whole();
+        return made;
+    }
+    made.content.rows.assign(this->history.end() - static_cast<std::ptrdiff_t>(missing),
+                             this->history.end());
+    return made;
 }
 
 page table_mirror::whole() const
--- a/pistachiospan/mirror/mirror.hpp
+++ b/pistachiospan/mirror/mirror.hpp
@@ -16,6 +16,7 @@
 
 #include "pistachiospan/base/base.hpp"
 
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -37,9 +38,19 @@
     std::uint64_t position = 0;
 };
 
-std::string encode(const page& from);
+// What one VM hands to another: all rows, or the changes after a cursor. Cursors count the
+// changes of one copy; `instance` names the copy.
+struct relay_page
+{
+    mirror::page content;
+    bool whole = false;
+    std::uint64_t instance = 0;
+    std::uint64_t cursor = 0;
+};
+
+std::string encode(const relay_page& from);
 // Errors: invalid_argument for bytes that are no page.
-result<page> decode(std::string_view bytes);
+result<relay_page> decode(std::string_view bytes);
 
 struct mirror_options
 {
@@ -49,6 +60,8 @@
     duration removal_grace{0};
     // Failed reads for this long are an outage.
     duration outage_after = std::chrono::seconds(1);
+    std::uint64_t instance = 0;    // differs between copies
+    std::size_t history = 1024;    // changes that other VMs can follow
 };
 
 struct mirror_hooks
@@ -71,7 +84,9 @@
     // All rows of the table. Rows that are missing from it are removed.
     void apply_whole(time_point now, const page& all, origin from = origin::store);
     // The rows that changed after position().
-    void apply_changes(time_point now, const page& changes);
+    void apply_changes(time_point now, const page& changes, origin from = origin::store);
+    // What another VM handed over.
+    void apply_relayed(time_point now, const relay_page& given);
 
     // A read failed. The next successful one ends the outage.
     void note_outage(time_point now);
@@ -86,19 +101,41 @@
     {
         return this->newest;
     }
+    // The highest version of a row that was changed or removed: VMs compare it to see which
+    // of them is behind.
+    std::uint64_t newest_change() const
+    {
+        return this->last_change;
+    }
     page whole() const;
 
+    std::uint64_t cursor() const
+    {
+        return this->changes;
+    }
+    // The changes after a cursor of this copy; all rows for any other cursor.
+    relay_page changes_since(std::uint64_t instance, std::uint64_t cursor) const;
+
 private:
     void set(const row& given);
     bool end_outage(time_point now);
-    void remove(const std::string& key);
-    void remove_later(time_point now, const std::string& key);
+    void remove(const std::string& key, std::uint64_t version);
+    void remember(const row& change);
+    void remove_later(time_point now, const std::string& key, std::uint64_t version);
 
     mirror_options options;
     mirror_hooks hooks;
     std::map<std::string, row> rows;
-    std::map<std::string, time_point> doomed; // removed, and until when they are kept
+    struct removal
+    {
+        time_point due;
+        std::uint64_t version = 0;
+    };
+    std::map<std::string, removal> doomed; // rows that are kept for their grace
     std::uint64_t newest = 0;
+    std::uint64_t last_change = 0;
+    std::uint64_t changes = 0;   // made to this copy
+    std::deque<row> history;     // the last of them
     bool failing = false;
     time_point failing_since;
 };
--- a/pistachiospan/mirror/mirror_test.cpp
+++ b/pistachiospan/mirror/mirror_test.cpp
@@ -11,7 +11,7 @@
 struct followed
 {
     followed()
-        : copy({.removal_grace = 2100ms},
+        : copy({.removal_grace = 2100ms, .instance = 7},
                {.changed = [this](const mirror::row& row)
                 { this->changes.push_back(row.key + "=" + row.value); },
                 .removed = [this](const std::string& key)
@@ -101,15 +101,64 @@
     BOOST_TEST(table.removed.size() == 1U);
 }
 
+// Guards against a VM that follows another one and misses a change or a removal.
+BOOST_AUTO_TEST_CASE(relayed_changes_keep_two_copies_equal)
+{
+    followed first;
+    followed second;
+    std::uint64_t instance = 0;
+    std::uint64_t cursor = 0;
+    const auto relay = [&](time_point now)
+    {
+        const mirror::relay_page given = first.copy.changes_since(instance, cursor);
+        second.copy.apply_relayed(now, given);
+        instance = given.instance;
+        cursor = given.cursor;
+        return given;
+    };
+    first.copy.apply_whole(start, {.rows = {row("a", 1), row("b", 2)}, .position = 2});
+    BOOST_TEST(relay(start).whole);
+    first.copy.apply_changes(start, {.rows = {row("c", 3)}, .position = 3});
+    first.copy.apply_changes(start, {.rows = {gone("a", 4)}, .position = 4});
+    const mirror::relay_page changes = relay(start);
+    BOOST_TEST(!changes.whole);
+    BOOST_TEST(changes.content.rows.size() == 2U);
+    BOOST_TEST(second.copy.whole().rows.size() == 2U);
+    BOOST_TEST(second.copy.newest_change() == first.copy.newest_change());
+    BOOST_TEST(first.copy.changes_since(99, cursor).whole);
+}
+
+// Guards against a removal that is held for an outage and never told to the others.
+BOOST_AUTO_TEST_CASE(held_removal_is_relayed_when_it_takes_effect)
+{
+    followed first;
+    first.copy.apply_whole(start, {.rows = {row("a", 1)}, .position = 1});
+    const std::uint64_t cursor = first.copy.cursor();
+    first.copy.note_outage(start);
+    first.copy.apply_changes(start + 3s, {.rows = {gone("a", 2)}, .position = 2});
+    BOOST_TEST(first.copy.cursor() == cursor);
+    first.copy.tick(start + 6s);
+    const mirror::relay_page given = first.copy.changes_since(7, cursor);
+    BOOST_TEST_REQUIRE(given.content.rows.size() == 1U);
+    BOOST_TEST(given.content.rows.front().deleted);
+}
+
 // Guards against values that change on the way from one VM to another.
 BOOST_AUTO_TEST_CASE(pages_survive_encoding)
 {
-    const mirror::page sent{.rows = {row("a", 1), row(std::string("b\0c", 3), 2)},
-                            .position = 9};
-    const result<mirror::page> read = mirror::decode(mirror::encode(sent));
+    const mirror::relay_page sent{
+        .content = {.rows = {gone("a", 1), row(std::string("b\0c", 3), 2)}, .position = 9},
+        .whole = true,
+        .instance = 4,
+        .cursor = 5};
+    const result<mirror::relay_page> read = mirror::decode(mirror::encode(sent));
     BOOST_TEST_REQUIRE(read.has_value());
-    BOOST_TEST(read.value().position == 9U);
-    BOOST_TEST(read.value().rows.at(1).key == sent.rows.at(1).key);
-    BOOST_TEST(read.value().rows.at(1).value == "v2");
+    BOOST_TEST(read.value().content.position == 9U);
+    BOOST_TEST(read.value().content.rows.at(0).deleted);
+    BOOST_TEST(read.value().content.rows.at(1).key == sent.content.rows.at(1).key);
+    BOOST_TEST(read.value().content.rows.at(1).value == "v2");
+    BOOST_TEST(read.value().whole);
+    BOOST_TEST(read.value().instance == 4U);
+    BOOST_TEST(read.value().cursor == 5U);
     BOOST_TEST(!mirror::decode("\x93garbage").has_value());
 }
