--- a/pistachiospan/allowance/allowance.cpp
+++ b/pistachiospan/allowance/allowance.cpp
@@ -22,6 +22,9 @@
 // Rates below this are noise of the decaying estimate.
 constexpr double least_reported = 0.05; // requests per second
 
+// Smaller changes of demand wait for the next whole report.
+constexpr double least_change = 1; // requests per second
+
 } // namespace
 
 ledger::ledger(ledger_options options) : options(options) {}
@@ -139,15 +142,22 @@
         std::min(found->second.tokens + 1, this->capacity(found->second));
 }
 
-std::vector<demand> ledger::report_demand(time_point now)
+std::vector<demand> ledger::report_demand(time_point now, bool whole)
 {
     std::vector<demand> all;
     for (auto& [name, each] : this->buckets)
     {
         this->refill(now, each);
         this->decay(now, each);
-        each.told = each.demand;
-        if (each.told >= least_reported)
+        const double change = std::abs(each.demand - each.told);
+        const double least =
+            std::max(each.told * this->options.change_told, least_change);
+        const bool tells = whole || change >= least;
+        if (!tells)
+            continue;
+        const bool known = each.told > 0;
+        each.told = each.demand >= least_reported ? each.demand : 0;
+        if (each.told > 0 || known)
             all.push_back({.account = name, .rate = each.told, .part = this->part(each)});
     }
     return all;
--- a/pistachiospan/allowance/allowance.hpp
+++ b/pistachiospan/allowance/allowance.hpp
@@ -32,6 +32,8 @@
     // Demand added to each VM, so that one without requests can admit its first ones.
     // Requests per second, as a part of the account's rate.
     double least_demand = 0.02;
+    // A change of demand that is worth telling, as a part of the demand told last.
+    double change_told = 0.2;
     // Smallest capacity of a bucket, in tokens: below one, nothing could ever pass.
     double least_capacity = 1.0;
 };
@@ -79,9 +81,10 @@
     // The request was not run after all: gives its token back.
     void give_back(time_point now, std::string_view account);
 
-    // This VM's demand, for the other VMs. Accounts without any are left out. The parts are
-    // reckoned with the demand told last, so that all VMs use the same figures.
-    std::vector<demand> report_demand(time_point now);
+    // This VM's demand, for the other VMs: all of it, or what has changed since it was told
+    // last. The parts are reckoned with the demand told last, so that all VMs use the same
+    // figures.
+    std::vector<demand> report_demand(time_point now, bool whole);
 
     // This VM's part of the account, 0 to 1.
     double part_of(std::string_view account) const;
--- a/pistachiospan/allowance/allowance_test.cpp
+++ b/pistachiospan/allowance/allowance_test.cpp
@@ -51,8 +51,10 @@
     void report(std::size_t from)
     {
         this->vms[from]->set_remote(this->now, "shop", this->view(from));
-        const auto all = this->vms[from]->report_demand(this->now);
-        this->told[from] = all.empty() ? allowance::demand{} : all.front();
+        const bool whole = ++this->reports % 4 == 0;
+        const auto all = this->vms[from]->report_demand(this->now, whole);
+        if (!all.empty())
+            this->told[from] = all.front();
         for (std::size_t to = 0; to < this->vms.size(); ++to)
             if (to != from && !this->cut[from] && !this->cut[to])
                 this->vms[to]->set_remote(this->now, "shop", this->view(to));
@@ -102,6 +104,7 @@
     std::vector<bool> cut;
     std::vector<time_point> admissions;
     double due = 0;
+    std::size_t reports = 0;
     time_point now = time_point(1000s);
 };
 
--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -36,6 +36,9 @@
 constexpr duration behind_limit = std::chrono::milliseconds(900);
 // Least time between two reads for a version that another VM has.
 constexpr duration hurry_interval = std::chrono::milliseconds(400);
+// One in this many reports is whole.
+constexpr std::uint64_t whole_report = 6;
+
 constexpr duration register_retry = std::chrono::seconds(1);
 
 // Descriptors kept for everything but callers' connections.
@@ -147,6 +150,7 @@
     incarnation started;
     bool stopping = false;
     bool accepting = true;
+    bool newcomer = true; // a VM needs this one's whole report
     std::uint64_t published_operator = 0; // cursors
     std::uint64_t published_registry = 0;
     std::uint64_t answered_operator = 0; // changes of others that led to a read
@@ -162,7 +166,9 @@
                                             translation words, store_access store)
     : base(base), options(std::move(given)), words(std::move(words)),
       store(std::move(store)), events({.vm = this->options.vm.value}),
-      known_upstreams({.data_centre = this->options.data_centre}, this->options.places),
+      known_upstreams({.seed = hash_bytes(this->options.vm.value),
+                       .data_centre = this->options.data_centre},
+                      this->options.places),
       allowances({}), vms({.self = this->options.vm,
                            .data_centre = this->options.data_centre,
                            .regions = this->options.places}),
@@ -439,7 +445,11 @@
 void edge_daemon::implementation::send_report(time_point now)
 {
     const desired::state* active = this->requests.active();
-    fleet::report own{.vm = this->options.vm,
+    const bool whole = this->stopping || this->newcomer ||
+                       this->report_sequence % whole_report == 0;
+    this->newcomer = false;
+    fleet::report own{.brief = !whole,
+                      .vm = this->options.vm,
                       .started = this->started,
                       .sequence = ++this->report_sequence,
                       .data_centre = this->options.data_centre,
@@ -451,8 +461,8 @@
                       .reaches_store = this->reaches_store(),
                       .operator_change = this->operator_rows.newest_change(),
                       .registry_change = this->registry.newest_change(),
-                      .demand = this->allowances.report_demand(now),
-                      .services = this->known_upstreams.local_demand(now)};
+                      .demand = this->allowances.report_demand(now, whole),
+                      .services = this->known_upstreams.report_demand(now, whole)};
     this->vms.set_self(own);
     const std::vector<std::string> addresses = this->vms.peer_addresses();
     this->peers.send(fleet::encode(own), addresses);
@@ -479,6 +489,7 @@
     if (seen.appeared)
     {
         this->log("vm_found", {{"peer", name}});
+        this->newcomer = true;
         this->apply_vm_count();
     }
     const desired::state* active = this->requests.active();
--- a/pistachiospan/fleet/fleet.cpp
+++ b/pistachiospan/fleet/fleet.cpp
@@ -8,7 +8,31 @@
 namespace
 {
 
-constexpr std::size_t report_fields = 14;
+constexpr std::size_t brief_fields = 9;
+constexpr std::size_t whole_fields = 12;
+
+// Bits of a report's state.
+constexpr unsigned ready_bit = 1;
+constexpr unsigned draining_bit = 2;
+constexpr unsigned reaches_store_bit = 4;
+
+// A brief report with all that the one before it said and it does not repeat.
+report complete(report brief, const report& before)
+{
+    const auto keep = [](auto& changed, const auto& known, auto name)
+    {
+        for (const auto& each : known)
+            if (std::ranges::find(changed, each.*name, name) == changed.end())
+                changed.push_back(each);
+    };
+    keep(brief.demand, before.demand, &allowance::demand::account);
+    keep(brief.services, before.services, &upstreams::service_demand::service);
+    brief.brief = false;
+    brief.data_centre = before.data_centre;
+    brief.peer_address = before.peer_address;
+    brief.caller_address = before.caller_address;
+    return brief;
+}
 
 std::vector<allowance::demand> difference(const std::vector<allowance::demand>& before,
                                           const std::vector<allowance::demand>& after)
@@ -35,12 +59,24 @@
     nlohmann::json services = nlohmann::json::object();
     for (const upstreams::service_demand& each : from.services)
         services[each.service] = {static_cast<float>(each.rate), each.bound};
-    const nlohmann::json all = {
-        from.vm.value,       from.started,        from.sequence,
-        from.data_centre,    from.peer_address,   from.caller_address,
-        from.ready,          from.draining,       from.desired_version,
-        from.reaches_store,  from.operator_change, from.registry_change,
-        std::move(demand),   std::move(services)};
+    const unsigned state = (from.ready ? ready_bit : 0U) |
+                           (from.draining ? draining_bit : 0U) |
+                           (from.reaches_store ? reaches_store_bit : 0U);
+    nlohmann::json all = {from.vm.value,
+                          from.started,
+                          from.sequence,
+                          state,
+                          from.desired_version,
+                          from.operator_change,
+                          from.registry_change,
+                          std::move(demand),
+                          std::move(services)};
+    if (!from.brief)
+    {
+        all.push_back(from.data_centre);
+        all.push_back(from.peer_address);
+        all.push_back(from.caller_address);
+    }
     std::string bytes;
     nlohmann::json::to_msgpack(all, bytes);
     return bytes;
@@ -49,32 +85,36 @@
 result<report> decode(std::string_view bytes)
 {
     const nlohmann::json all = nlohmann::json::from_msgpack(bytes, true, false);
-    if (!all.is_array() || all.size() != report_fields)
+    if (!all.is_array() || (all.size() != brief_fields && all.size() != whole_fields))
         return failure(errc::invalid_argument,
                        "report of a VM has another shape; run one version on all VMs");
     try
     {
-        report made{.vm = {all[0].get<std::string>()},
+        const unsigned state = all[3].get<unsigned>();
+        report made{.brief = all.size() == brief_fields,
+                    .vm = {all[0].get<std::string>()},
                     .started = all[1].get<incarnation>(),
                     .sequence = all[2].get<std::uint64_t>(),
-                    .data_centre = all[3].get<std::string>(),
-                    .peer_address = all[4].get<std::string>(),
-                    .caller_address = all[5].get<std::string>(),
-                    .ready = all[6].get<bool>(),
-                    .draining = all[7].get<bool>(),
-                    .desired_version = all[8].get<std::uint64_t>(),
-                    .reaches_store = all[9].get<bool>(),
-                    .operator_change = all[10].get<std::uint64_t>(),
-                    .registry_change = all[11].get<std::uint64_t>()};
-        for (const auto& [account, figures] : all[12].items())
+                    .ready = (state & ready_bit) != 0,
+                    .draining = (state & draining_bit) != 0,
+                    .desired_version = all[4].get<std::uint64_t>(),
+                    .reaches_store = (state & reaches_store_bit) != 0,
+                    .operator_change = all[5].get<std::uint64_t>(),
+                    .registry_change = all[6].get<std::uint64_t>()};
+        for (const auto& [account, figures] : all[7].items())
             made.demand.push_back({.account = account,
                                    .rate = figures.at(0).get<double>(),
                                    .part = figures.at(1).get<double>()});
-        for (const auto& [service, figures] : all[13].items())
+        for (const auto& [service, figures] : all[8].items())
             made.services.push_back(
                 {.service = service,
                  .rate = figures.at(0).get<double>(),
                  .bound = figures.at(1).get<std::map<std::string, double>>()});
+        if (made.brief)
+            return made;
+        made.data_centre = all[9].get<std::string>();
+        made.peer_address = all[10].get<std::string>();
+        made.caller_address = all[11].get<std::string>();
         return made;
     }
     catch (const nlohmann::json::exception& problem)
@@ -114,6 +154,12 @@
             std::pair(known->second.said.started, known->second.said.sequence);
     if (older)
         return {};
+    if (said.brief)
+    {
+        if (known == this->peers.end() || known->second.said.started != said.started)
+            return {};
+        said = complete(std::move(said), known->second.said);
+    }
     observation seen{.appeared = !this->was_live[name]};
     if (!seen.appeared && known != this->peers.end())
         seen.change = difference(known->second.said.demand, said.demand);
--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -7,8 +7,10 @@
 //     for (const std::string& address : vms.addresses_for(now, "borneo", "bor-a"))
 //         ...
 //
-// Each VM sends its report to all others in one datagram each interval. Reports are soft
-// state: nothing is agreed on, and a lost one is made good by the next.
+// Each VM sends its report to all others in one datagram each interval. Most reports are
+// brief: they say that the VM is there, and which demand has changed. Every few a whole one
+// follows. Reports are soft state: nothing is agreed on, and a lost one is made good by the
+// next whole one.
 
 #ifndef PISTACHIOSPAN_FLEET_FLEET_HPP
 #define PISTACHIOSPAN_FLEET_FLEET_HPP
@@ -25,6 +27,8 @@
 
 struct report
 {
+    // Places, addresses and unchanged demand are left out.
+    bool brief = false;
     vm_id vm;
     incarnation started = 0; // higher for a later process of the same VM
     std::uint64_t sequence = 0;
@@ -87,7 +91,7 @@
         std::vector<allowance::demand> change;
     };
 
-    // Older reports are ignored.
+    // Older reports are ignored, and brief ones of VMs without a whole one.
     observation observe(time_point now, report said);
     // VMs that fell silent since the last call.
     std::vector<vm_id> expire(time_point now);
--- a/pistachiospan/fleet/fleet_test.cpp
+++ b/pistachiospan/fleet/fleet_test.cpp
@@ -150,3 +150,30 @@
     BOOST_TEST(vms.best_informed(start, 4, 9) != nullptr);
     BOOST_TEST(vms.best_informed(start + 5s, 0, 0) == nullptr);
 }
+
+// Guards against brief reports that lose what they do not repeat, and against one that is
+// taken for the report of a VM that has started again.
+BOOST_AUTO_TEST_CASE(brief_reports_keep_the_rest)
+{
+    fleet::membership vms = make("n1");
+    fleet::report brief{.brief = true,
+                        .vm = {"a"},
+                        .started = 1,
+                        .sequence = 2,
+                        .ready = true,
+                        .demand = {{.account = "other", .rate = 3}}};
+    vms.observe(start, brief);
+    BOOST_TEST(vms.live_count(start) == 1U);
+    vms.observe(start, report_of("a", "n2"));
+    const result<fleet::report> read = fleet::decode(fleet::encode(brief));
+    BOOST_TEST_REQUIRE(read.has_value());
+    vms.observe(start + 2s, read.value());
+    BOOST_TEST(vms.live_count(start + 4s) == 2U);
+    BOOST_TEST(vms.addresses_for(start + 4s, "north", "n2").back() == "a:2");
+    BOOST_TEST(vms.remote_shares(start + 4s).at("shop").demand == 10);
+    BOOST_TEST(vms.remote_shares(start + 4s).at("other").demand == 3);
+    brief.started = 2;
+    brief.sequence = 1;
+    vms.observe(start + 9s, brief);
+    BOOST_TEST(vms.live_count(start + 9s) == 1U);
+}
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -132,9 +132,8 @@
         if (place != this->where.end())
             made->region = place->second;
         made->hash = hash_bytes(said.id);
-        made->cold_until = now + said.cold_left;
-        made->cold_refilled = now;
         made->last_answer = now;
+        this->make_cold(now, *made, said.cold_left);
         this->groups[said.service].members.push_back(made.get());
         this->all.emplace(said.id, std::move(made));
         return said.draining ? "added draining" : "added";
@@ -144,7 +143,7 @@
     {
         // The same upstream started again: it knows nothing and is cold.
         const service_group& group = this->groups[said.service];
-        known->cold_until = now + std::max(said.cold_left, group.cold_time);
+        this->make_cold(now, *known, std::max(said.cold_left, group.cold_time));
         known->ejected_until = now;
         known->ejections = 0;
         known->failures = 0;
@@ -153,8 +152,7 @@
         known->objects.clear();
         change = "restarted";
     }
-    if (said.cold_left > duration(0))
-        known->cold_until = std::max(known->cold_until, now + said.cold_left);
+    this->make_cold(now, *known, said.cold_left);
     if (known->said.draining != said.draining)
         change = said.draining ? "draining" : "ready";
     known->said = said;
@@ -291,6 +289,20 @@
               (of.knows || first ? known : unknown * this->options.unknown_cost) * speed;
 }
 
+// The first tokens of the VMs come evenly over time: each begins with another part of one.
+void upstream_set::make_cold(time_point now, upstream& of, duration left) const
+{
+    const time_point until = now + left;
+    if (until <= of.cold_until || left <= duration(0))
+        return;
+    if (now >= of.cold_until)
+    {
+        of.cold_tokens = unit_of(mix(this->options.seed, of.hash));
+        of.cold_refilled = now;
+    }
+    of.cold_until = until;
+}
+
 bool upstream_set::has_cold_token(time_point now, upstream& of, const service_group& group)
 {
     if (now >= of.cold_until || group.cold_rate <= 0)
@@ -430,12 +442,19 @@
         group.bound[region] += one / static_cast<double>(homes.size());
 }
 
-std::vector<service_demand> upstream_set::local_demand(time_point now)
+std::vector<service_demand> upstream_set::report_demand(time_point now, bool whole)
 {
     std::vector<service_demand> all;
     for (auto& [name, group] : this->groups)
     {
         this->decay_demand(now, group);
+        double demand = group.demand;
+        for (const auto& [region, rate] : group.bound)
+            demand += rate;
+        const double change = std::abs(demand - group.told);
+        if (!whole && change < std::max(group.told * this->options.change_told, 1.0))
+            continue;
+        group.told = demand;
         all.push_back({.service = name, .rate = group.demand, .bound = group.bound});
     }
     return all;
@@ -646,7 +665,7 @@
 void upstream_set::note_cold(time_point now, std::string_view id, duration cold_left)
 {
     if (upstream* at = this->find(id))
-        at->cold_until = std::max(at->cold_until, now + cold_left);
+        this->make_cold(now, *at, cold_left);
 }
 
 std::size_t upstream_set::size() const
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -70,6 +70,7 @@
 
 struct set_options
 {
+    std::uint64_t seed = 0; // differs between VMs
     std::string data_centre; // of this VM
     // Work on an object that the upstream knows and on one that it does not, before the
     // first answers show it.
@@ -97,6 +98,8 @@
     double plan_step = 0.008;
     duration plan_interval = std::chrono::milliseconds(500);
     duration demand_memory = std::chrono::seconds(3);
+    // A change of demand that is worth telling, as a part of the demand told last.
+    double change_told = 0.2;
     // Busy part of all slots that the first plan expects.
     double initial_utilisation = 0.5;
     // Time in which an evacuated data centre gives up its requests, and in which a
@@ -198,8 +201,9 @@
 
     selection select(time_point now, const query& wanted);
 
-    // Demand at this VM, for the other VMs.
-    std::vector<service_demand> local_demand(time_point now);
+    // Demand at this VM, for the other VMs: all of it, or what has changed since it was
+    // told last.
+    std::vector<service_demand> report_demand(time_point now, bool whole);
     // Demand at the other VMs, by their data centre.
     void set_remote_demand(std::map<std::string, remote_demand> by_service);
     // Moves the plans towards the demand. Call about twice a second.
@@ -262,6 +266,7 @@
         double demand = 0; // requests per second at this VM that may run anywhere
         std::map<std::string, double> bound; // those that must run in a region
         time_point decayed;
+        double told = 0; // demand of both kinds in the last report
         remote_demand remote;
         std::map<std::string, double> plan; // data centre to its part
         std::vector<std::string> plan_order;
@@ -312,6 +317,7 @@
     bool in_homes(const upstream& of, std::span<const std::string> homes) const;
     void learn(time_point now, upstream& at, const selection& chosen, duration latency);
     void eject(time_point now, upstream& of);
+    void make_cold(time_point now, upstream& of, duration left) const;
 
     set_options options;
     places where;
--- a/pistachiospan/upstreams/upstreams_test.cpp
+++ b/pistachiospan/upstreams/upstreams_test.cpp
@@ -130,28 +130,37 @@
     BOOST_TEST((none.failure == upstreams::selection_failure::no_upstream));
 }
 
-// Guards against a cold upstream that gets more than its rate from all VMs together.
-BOOST_AUTO_TEST_CASE(cold_upstream_gets_its_rate)
+// Requests to a cold upstream in one second from all VMs, while each has enough of them.
+int cold_requests(int vms, double rate)
 {
-    constexpr int vms = 9;
     int total = 0;
     for (int vm = 0; vm < vms; ++vm)
     {
-        upstreams::upstream_set known({.data_centre = "n1"}, six);
+        upstreams::upstream_set known(
+            {.seed = hash_bytes(std::to_string(vm)), .data_centre = "n1"}, six);
         upstreams::entry cold = entry_of("n1a", "n1");
         cold.cold_left = 3s;
         known.update(start, cold);
         const std::vector<desired::service> services = {
-            {.name = "orders", .cold_time = 3s, .cold_rate = 14}};
+            {.name = "orders", .cold_time = 3s, .cold_rate = rate}};
         known.set_services(services);
         known.set_vm_count(vms);
         for (int step = 0; step < 100; ++step)
             if (known.select(start + step * 10ms, query_of(std::to_string(step))).found)
                 ++total;
     }
-    // The platform's bound: half over the rate, and 5 requests.
-    BOOST_TEST(total <= 14 * 1.5 + 5);
-    BOOST_TEST(total > 9);
+    return total;
+}
+
+// Guards against a cold upstream that gets more than its rate from all VMs together. With
+// many VMs the first request of each is too much (rota-louche-grown scale-2: 23 of 16.1).
+BOOST_AUTO_TEST_CASE(cold_upstream_gets_its_rate)
+{
+    // The platform's bounds: half over the rate, and some requests.
+    BOOST_TEST(cold_requests(9, 14) <= 14 * 1.5 + 5);
+    BOOST_TEST(cold_requests(9, 14) > 9);
+    BOOST_TEST(cold_requests(65, 5.4) <= 5.4 * 1.5 + 8);
+    BOOST_TEST(cold_requests(65, 5.4) > 0);
 }
 
 // Guards against the same upstream that starts again and is taken for warm.
