--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -104,8 +104,8 @@
     void publish_changes();
     void send_report(time_point now);
     void receive_report(std::string_view datagram);
-    std::string choose_source(time_point now);
-    bool reaches_store() const;
+    std::string choose_source(time_point now) const;
+    bool reaches_store(time_point now) const;
     void catch_up(time_point now);
     void share_demand(time_point now);
     void read_vms();
@@ -265,6 +265,8 @@
             .read = [this, name](bool from_store, bool good)
             {
                 this->numbers.count_read(name, from_store, good);
+                if (from_store)
+                    this->store_tried = monotonic_now();
                 this->publish_changes();
             }};
 }
@@ -428,6 +430,8 @@
         this->log("vm_lost", {{"peer", silent.value}});
     this->share_demand(now);
     this->send_report(now);
+    this->follow_operator.reconsider();
+    this->follow_registry.reconsider();
     this->catch_up(now);
 }
 
@@ -458,7 +462,7 @@
                       .ready = this->ready(),
                       .draining = this->stopping,
                       .desired_version = active == nullptr ? 0 : active->version(),
-                      .reaches_store = this->reaches_store(),
+                      .reaches_store = this->reaches_store(now),
                       .operator_change = this->operator_rows.newest_change(),
                       .registry_change = this->registry.newest_change(),
                       .demand = this->allowances.report_demand(now, whole),
@@ -495,7 +499,7 @@
     const desired::state* active = this->requests.active();
     const std::uint64_t own = active == nullptr ? 0 : active->version();
     // The own read may hang on a connection that has gone silent.
-    if (version > own && this->reaches_store() && now - this->hurried >= hurry_interval)
+    if (version > own && this->reaches_store(now) && now - this->hurried >= hurry_interval)
     {
         this->log("desired_state_behind",
                   {{"peer", name}, {"peer_version", version}, {"active", own}});
@@ -507,15 +511,12 @@
 // One VM of each region reads the store and the others follow it, so that the store's
 // calls do not grow with the number of VMs. Without one that reaches the store, the region
 // follows another region's reader, or whoever knows more.
-std::string edge_daemon::implementation::choose_source(time_point now)
+std::string edge_daemon::implementation::choose_source(time_point now) const
 {
     if (const fleet::peer* reader = this->vms.reader(now))
         return reader->said.peer_address;
-    if (this->reaches_store() || now - this->store_tried >= store_retry)
-    {
-        this->store_tried = now;
+    if (this->reaches_store(now) || now - this->store_tried >= store_retry)
         return {};
-    }
     if (const fleet::peer* remote = this->vms.remote_reader(now))
         return remote->said.peer_address;
     if (const fleet::peer* best =
@@ -525,9 +526,10 @@
     return {};
 }
 
-bool edge_daemon::implementation::reaches_store() const
+bool edge_daemon::implementation::reaches_store(time_point now) const
 {
-    return this->follow_operator.reaches_store() && this->follow_registry.reaches_store();
+    return this->follow_operator.reaches_store(now) &&
+           this->follow_registry.reaches_store(now);
 }
 
 // The VM that this one follows may itself hang on a dead connection.
--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -20,11 +20,11 @@
     ++this->reads;
     this->began = monotonic_now();
     const bool at_store = std::exchange(this->store_first, false);
-    const std::string peer = at_store ? std::string() : this->hooks.choose();
-    if (peer.empty())
+    this->source = at_store ? std::string() : this->hooks.choose();
+    if (this->source.empty())
         this->read_store();
     else
-        this->read_peer(peer);
+        this->read_peer(this->source);
 }
 
 void follower::read_peer(const std::string& address)
@@ -113,12 +113,22 @@
     if (this->in_reach)
     {
         this->in_reach = false;
+        this->failing_since = monotonic_now();
         this->hooks.lost(problem);
     }
     this->next.start(this->backoff);
     this->backoff = std::min(this->backoff * 2, this->options.longest_backoff);
 }
 
+void follower::reconsider()
+{
+    if (this->source.empty() || this->hooks.choose() == this->source)
+        return;
+    ++this->reads;
+    this->peers.cancel(this->relay_call);
+    this->next.start(duration(0));
+}
+
 void follower::hurry()
 {
     ++this->reads;
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -17,7 +17,9 @@
     duration pace = std::chrono::milliseconds(100);
     // Time for which the store holds a read without changes.
     duration wait = std::chrono::seconds(2);
-    duration first_backoff = std::chrono::milliseconds(200); // doubles up to the longest
+    // A short failure is not worth a change of the VM that reads.
+    duration lost_after = std::chrono::milliseconds(900);
+    duration first_backoff = std::chrono::milliseconds(50); // doubles up to the longest
     duration longest_backoff = std::chrono::milliseconds(400);
 };
 
@@ -38,10 +40,13 @@
 
     // Gives up a pending read, which may hang on a dead connection, and reads the store.
     void hurry();
-    bool reaches_store() const
+    // False when the store has not answered for `lost_after`.
+    bool reaches_store(time_point now) const
     {
-        return this->in_reach;
+        return this->in_reach || now - this->failing_since < this->options.lost_after;
     }
+    // Reads elsewhere if the source in use is no longer the one to choose.
+    void reconsider();
 
 private:
     void read();
@@ -59,7 +64,9 @@
     event_loop::one_shot_timer next;
     std::uint64_t reads = 0; // numbers the reads; an interrupted one is ignored
     bool whole_needed = true;
-    bool in_reach = true;     // of the store
+    bool in_reach = true;     // the last read of the store succeeded
+    time_point failing_since;
+    std::string source;       // of the read in progress; empty: the store
     bool store_first = false; // the next read goes to the store whatever is chosen
     http1::call_id relay_call = 0;
     std::uint64_t relay_instance = 0;
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -104,7 +104,7 @@
     double initial_utilisation = 0.5;
     // Time in which an evacuated data centre gives up its requests, and in which a
     // returned one gets them.
-    duration evacuation_ramp = std::chrono::milliseconds(3500);
+    duration evacuation_ramp = std::chrono::milliseconds(2500);
     duration return_ramp = std::chrono::seconds(6);
     duration first_ejection = std::chrono::milliseconds(700); // doubles up to the longest
     duration longest_ejection = std::chrono::seconds(6);
--- a/pistachiospan/upstreams/upstreams_test.cpp
+++ b/pistachiospan/upstreams/upstreams_test.cpp
@@ -96,11 +96,11 @@
         return count;
     };
     const int at_start = in_n1(start);
-    const int halfway = in_n1(start + 1750ms);
+    const int halfway = in_n1(start + 1250ms);
     BOOST_TEST(at_start > 0);
     BOOST_TEST(halfway > at_start / 4);
     BOOST_TEST(halfway < at_start * 3 / 4);
-    BOOST_TEST(in_n1(start + 4s) == 0);
+    BOOST_TEST(in_n1(start + 2600ms) == 0);
     known.set_evacuated(start + 10s, {}, false);
     BOOST_TEST(in_n1(start + 17s) > 0);
 }
