--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -30,7 +30,7 @@
                                 .network = network});
     const std::vector<std::string> broken = run.play();
     std::cout << "seed " << seed << ": " << run.summary() << ", " << broken.size()
-              << " broken\n";
+              << " broken" << std::endl;
     if (broken.empty())
     {
         std::filesystem::remove_all(pattern);
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -23,6 +23,9 @@
 constexpr duration recovery_bound = std::chrono::seconds(15);
 constexpr duration grace = std::chrono::seconds(3);
 
+// A process that was started or paused this long ago can be stopped cleanly.
+constexpr duration settled = std::chrono::seconds(1);
+
 constexpr duration step_length = std::chrono::milliseconds(10);
 constexpr duration start_time = std::chrono::seconds(2);
 constexpr duration restart_delay = std::chrono::milliseconds(300);
@@ -194,8 +197,10 @@
         break;
     case 1:
         if (vm.stop_begun == time_point())
+        {
             vm.stop_begun = this->now;
-        vm.clean_stop = !vm.paused && this->in_touch(vm);
+            vm.clean_stop = !vm.paused && this->now - vm.process_fault > settled;
+        }
         this->note("terminate " + vm.name());
         vm.signal(SIGTERM);
         return;
@@ -215,6 +220,7 @@
         return;
     }
     vm.last_fault = this->now;
+    vm.process_fault = this->now;
     vm.clean_stop = false;
 }
 
@@ -236,8 +242,6 @@
     upstream_state& at = this->upstreams.at(this->pick(this->upstreams.size()));
     this->note(kind + " before " + at.id);
     at.link->set_fault(fault);
-    for (const auto& vm : this->vms)
-        vm->clean_stop = false;
 }
 
 void soak::disturb_store()
--- a/tools/soak/vm_process.cpp
+++ b/tools/soak/vm_process.cpp
@@ -50,6 +50,7 @@
     if (failed != 0)
         throw std::runtime_error("cannot start " + daemon + "; build pistachio-edge");
     this->last_fault = now;
+    this->process_fault = now;
     this->stop_begun = {};
     this->paused = false;
     this->clean_stop = false;
--- a/tools/soak/vm_process.hpp
+++ b/tools/soak/vm_process.hpp
@@ -51,7 +51,8 @@
         return this->options.name;
     }
 
-    time_point last_fault; // of the process or its link to the store
+    time_point last_fault;    // of the process or its link to the store
+    time_point process_fault; // of the process: start, pause, resume, kill
     time_point stop_begun; // SIGTERM was sent; the epoch: none since the start
     bool paused = false;
     bool clean_stop = false; // nothing but the SIGTERM has happened since it was sent
