Reserve the parts of silent VMs from the demand that both sides know

Each VM told its part at another moment, so the parts on the two sides of the cut did not sum to one. Both sides now reckon the part of a silent VM from the demand that was told before the cut.

--- a/pistachiospan/allowance/allowance.cpp
+++ b/pistachiospan/allowance/allowance.cpp
@@ -162,7 +162,7 @@
         const bool known = each.told > 0;
         each.told = each.demand >= least_reported ? each.demand : 0;
         if (each.told > 0 || known)
-            all.push_back({.account = name, .rate = each.told, .part = this->part(each)});
+            all.push_back({.account = name, .rate = each.told});
     }
     return all;
 }
--- a/pistachiospan/allowance/allowance.hpp
+++ b/pistachiospan/allowance/allowance.hpp
@@ -52,14 +52,13 @@
 {
     std::string account;
     double rate = 0; // requests per second, admitted or not
-    double part = 0; // of the account's limit that the VM uses
 };
 
 // What the other VMs said of one account.
 struct remote_share
 {
     double demand = 0;   // requests per second at the VMs that are heard
-    double reserved = 0; // parts of the VMs that have fallen silent
+    double reserved = 0; // parts of the limit that silent VMs may still use
 };
 
 class ledger
--- a/pistachiospan/fleet/fleet.cpp
+++ b/pistachiospan/fleet/fleet.cpp
@@ -55,8 +55,7 @@
 {
     nlohmann::json demand = nlohmann::json::object();
     for (const allowance::demand& each : from.demand)
-        demand[each.account] = {static_cast<float>(each.rate),
-                                static_cast<float>(each.part)};
+        demand[each.account] = static_cast<float>(each.rate);
     nlohmann::json services = nlohmann::json::object();
     for (const upstreams::service_demand& each : from.services)
         services[each.service] = {static_cast<float>(each.rate), each.bound};
@@ -98,10 +97,8 @@
                     .reaches_store = (state & reaches_store_bit) != 0,
                     .operator_change = all[5].get<std::uint64_t>(),
                     .registry_change = all[6].get<std::uint64_t>()};
-        for (const auto& [account, figures] : all[7].items())
-            made.demand.push_back({.account = account,
-                                   .rate = figures.at(0).get<double>(),
-                                   .part = figures.at(1).get<double>()});
+        for (const auto& [account, rate] : all[7].items())
+            made.demand.push_back({.account = account, .rate = rate.get<double>()});
         for (const auto& [service, figures] : all[8].items())
             made.services.push_back(
                 {.service = service,
@@ -125,7 +122,7 @@
 
 void membership::set_self(report own)
 {
-    this->self = std::move(own);
+    this->self = own.brief ? complete(std::move(own), this->self) : std::move(own);
 }
 
 void membership::add_address(const vm_id& vm, const std::string& peer_address)
@@ -171,13 +168,38 @@
     std::vector<vm_id> silent;
     for (const auto& [name, each] : this->peers)
         if (this->was_live[name] && !this->is_live(now, each))
-        {
-            this->was_live[name] = false;
             silent.push_back(name);
-        }
+    if (!silent.empty())
+        this->reserve(now, silent);
+    for (const vm_id& name : silent)
+        this->was_live[name] = false;
     return silent;
 }
 
+void membership::reserve(time_point now, std::span<const vm_id> silent)
+{
+    std::map<std::string, double> total;
+    for (const allowance::demand& each : this->self.demand)
+        total[each.account] += each.rate;
+    for (const auto& [name, each] : this->peers)
+        if (this->was_live[name])
+            for (const allowance::demand& part : each.said.demand)
+                total[part.account] += part.rate;
+    const std::map<std::string, allowance::remote_share> before =
+        this->remote_shares(now);
+    for (const vm_id& name : silent)
+    {
+        peer& of = this->peers.at(name);
+        for (const allowance::demand& part : of.said.demand)
+        {
+            const auto known = before.find(part.account);
+            const double free = known == before.end() ? 1 : 1 - known->second.reserved;
+            if (total[part.account] > 0)
+                of.reserved[part.account] = free * part.rate / total[part.account];
+        }
+    }
+}
+
 std::vector<std::string> membership::peer_addresses() const
 {
     std::vector<std::string> all;
@@ -249,14 +271,12 @@
         const bool live = this->is_live(now, each);
         const bool reserved = !live && !each.said.draining &&
                               now - each.heard <= this->options.reserved_for;
-        for (const allowance::demand& part : each.said.demand)
-        {
-            allowance::remote_share& sum = shares[part.account];
-            if (live)
-                sum.demand += part.rate;
-            else if (reserved)
-                sum.reserved += part.part;
-        }
+        if (live)
+            for (const allowance::demand& part : each.said.demand)
+                shares[part.account].demand += part.rate;
+        if (reserved)
+            for (const auto& [account, part] : each.reserved)
+                shares[account].reserved += part;
     }
     return shares;
 }
--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -67,6 +67,9 @@
 {
     report said;
     time_point heard;
+    // Parts of the accounts' limits that it had when it fell silent. Empty while it is
+    // live.
+    std::map<std::string, double> reserved;
 };
 
 class membership
@@ -93,7 +96,8 @@
 
     // Older reports are ignored, and brief ones of VMs without a whole one.
     observation observe(time_point now, report said);
-    // VMs that fell silent since the last call.
+    // VMs that fell silent since the last call. Each keeps its share of the demand that
+    // was told: the other side of a cut reckons with the same figures.
     std::vector<vm_id> expire(time_point now);
 
     // Where to send the own report.
@@ -123,6 +127,7 @@
 
 private:
     bool is_live(time_point now, const peer& of) const;
+    void reserve(time_point now, std::span<const vm_id> silent);
     std::string region_of(const std::string& data_centre) const;
 
     membership_options options;
