Read the other VMs' rows only after the own row is written

Ruled out: the reserve of silent VMs (the sum was wrong before the cut). Test: vms_that_start_together_find_each_other.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -232,7 +232,6 @@
     this->directory = serve(this->options.directory, &implementation::answer_directory);
     this->readiness = serve(this->options.readiness, &implementation::answer_readiness);
     this->metrics = serve(this->options.metrics, &implementation::answer_metrics);
-    this->vm_reader.start(duration(0));
     this->registrar.start(duration(0));
     this->log("started", {{"data_centre", this->options.data_centre},
                           {"callers", this->options.callers},
@@ -624,6 +623,9 @@
         this->options.vm, this->options.peers,
         [this](const result<void>& done)
         {
+            // Of two VMs that start together, the one that reads after both have
+            // registered finds the other.
+            this->vm_reader.start(duration(0));
             if (done)
                 return;
             this->log("register_failed", {{"problem", done.error().message}});
