--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -90,39 +90,22 @@
 void soak::put_entry(const upstream_state& of)
 {
     const bool draining = of.draining_since != time_point();
-    this->store.put("servers", of.id,
-                    R"({"service":"orders","address":")" + of.entry_address +
-                        R"(","zone":"n1","version":"v1","slots":5,"state":")" +
-                        (draining ? "draining" : "ready") +
-                        R"(","coldRemainingMs":0,"sequence":1,"born":1700000000000})");
+    this->store.put(
+        std::string(names::upstream_table), of.id,
+        platform::testing::entry_text(of.entry_address, draining ? "draining" : "ready"));
 }
 
 void soak::put_desired_state()
 {
     ++this->version;
-    const std::string key = numbered("key-", static_cast<std::size_t>(this->key_number));
-    const auto route = [](const char* name, const char* kind)
-    {
-        return nlohmann::json{
-            {"name", name},           {"prefix", std::string("/") + name + "/"},
-            {"kind", kind},           {"timeoutMs", 900},
-            {"targetLatencyMs", 200}, {"service", "orders"},
-            {"maxAttempts", 2},       {"public", false},
-            {"stickySessions", true}};
-    };
-    const nlohmann::json state = {
-        {"version", "r" + std::to_string(this->version)},
-        {"services", {{{"name", "orders"}, {"coldStartS", 1.0}, {"coldPerS", 14.0}}}},
-        {"limits",
-         {{"maxHeaderBytes", 16384},
-          {"maxBodyBytes", 100000},
-          {"headerTimeoutMs", 3000},
-          {"idleTimeoutMs", 15000}}},
-        {"tenants", {{{"name", "shop"}, {"apiKeys", {key}}, {"ratePerS", 0}}}},
-        {"hosts",
-         {{{"host", "a.example"},
-           {"paths", {route("read", "safe"), route("order", "unsafe")}}}}}};
-    this->store.put("op", "config", state.dump());
+    this->store.put(
+        std::string(names::operator_table), std::string(names::desired_state_key),
+        platform::testing::desired_state_text(
+            {.version = this->version,
+             .key = numbered("key-", static_cast<std::size_t>(this->key_number)),
+             .read_is_open = false,
+             .timeout = std::chrono::milliseconds(900),
+             .cold_time = std::chrono::seconds(1)}));
 }
 
 std::size_t soak::pick(std::size_t count)
