--- a/pistachiospan/allowance/allowance.cpp
+++ b/pistachiospan/allowance/allowance.cpp
@@ -29,11 +29,11 @@
 
 ledger::ledger(ledger_options options) : options(options) {}
 
-void ledger::set_accounts(time_point now, std::span<const desired::account> accounts,
-                          bool fresh)
+void ledger::set_accounts(time_point now,
+                          std::span<const configuration::account> accounts, bool fresh)
 {
     std::unordered_map<std::string, bucket> next;
-    for (const desired::account& each : accounts)
+    for (const configuration::account& each : accounts)
     {
         if (each.rate <= 0)
             continue;
--- a/pistachiospan/allowance/allowance.hpp
+++ b/pistachiospan/allowance/allowance.hpp
@@ -19,7 +19,7 @@
 #ifndef PISTACHIOSPAN_ALLOWANCE_ALLOWANCE_HPP
 #define PISTACHIOSPAN_ALLOWANCE_ALLOWANCE_HPP
 
-#include "pistachiospan/desired/desired.hpp"
+#include "pistachiospan/configuration/configuration.hpp"
 
 #include <unordered_map>
 
@@ -68,7 +68,7 @@
 
     // Accounts that stay keep their tokens, up to the new capacity. New ones begin with a
     // full bucket only if the limits are new to the fleet, which `fresh` says.
-    void set_accounts(time_point now, std::span<const desired::account> accounts,
+    void set_accounts(time_point now, std::span<const configuration::account> accounts,
                       bool fresh);
 
     // Number of VMs that are heard, this one included.
--- a/pistachiospan/allowance/allowance_test.cpp
+++ b/pistachiospan/allowance/allowance_test.cpp
@@ -14,7 +14,7 @@
 constexpr double rate = 200;  // requests per second
 constexpr double burst = 200; // requests
 
-const desired::account shop{.name = "shop", .rate = rate, .burst = burst};
+const configuration::account shop{.name = "shop", .rate = rate, .burst = burst};
 
 // VMs that tell each other their demand, each at its own phase of the interval.
 struct fleet
@@ -193,7 +193,7 @@
 {
     allowance::ledger one({});
     one.set_accounts(time_point(1s), std::span(&shop, 1), true);
-    const desired::account less{.name = "shop", .rate = 10, .burst = 5};
+    const configuration::account less{.name = "shop", .rate = 10, .burst = 5};
     one.set_accounts(time_point(2s), std::span(&less, 1), true);
     int admitted = 0;
     for (int each = 0; each < 50; ++each)
@@ -215,7 +215,7 @@
 // Guards against accounts without a limit that are refused.
 BOOST_AUTO_TEST_CASE(no_limit_admits_all)
 {
-    const desired::account open{.name = "open"};
+    const configuration::account open{.name = "open"};
     allowance::ledger one({});
     one.set_accounts(time_point(1s), std::span(&open, 1), true);
     for (int each = 0; each < 1000; ++each)
--- a/pistachiospan/desired/desired.cpp
+++ b/pistachiospan/configuration/configuration.cpp
@@ -1,8 +1,8 @@
-#include "pistachiospan/desired/desired.hpp"
+#include "pistachiospan/configuration/configuration.hpp"
 
 #include <numeric>
 
-namespace pistachiospan::desired
+namespace pistachiospan::configuration
 {
 
 namespace
@@ -77,4 +77,4 @@
     return of.targets.back();
 }
 
-} // namespace pistachiospan::desired
+} // namespace pistachiospan::configuration
--- a/pistachiospan/desired/desired.hpp
+++ b/pistachiospan/configuration/configuration.hpp
@@ -1,16 +1,16 @@
-// The operator's desired state as the request path uses it: routes, services, client
+// The operator's configuration as the request path uses it: routes, services, client
 // accounts and limits of one version, indexed for look-up.
 //
 // Example:
 //
-//     const desired::state active(parsed);
-//     const desired::route* route = active.find_route("shop.example", "/orders/7");
-//     const desired::account* account = active.find_account(key);
+//     const configuration::state active(parsed);
+//     const configuration::route* route = active.find_route("shop.example", "/orders/7");
+//     const configuration::account* account = active.find_account(key);
 //
 // Values are immutable after construction and shared by pointer.
 
-#ifndef PISTACHIOSPAN_DESIRED_DESIRED_HPP
-#define PISTACHIOSPAN_DESIRED_DESIRED_HPP
+#ifndef PISTACHIOSPAN_CONFIGURATION_CONFIGURATION_HPP
+#define PISTACHIOSPAN_CONFIGURATION_CONFIGURATION_HPP
 
 #include "pistachiospan/base/base.hpp"
 
@@ -19,7 +19,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace pistachiospan::desired
+namespace pistachiospan::configuration
 {
 
 // What may be repeated.
@@ -87,7 +87,7 @@
     std::vector<service> services;
     std::vector<account> accounts;
     std::vector<route> routes;
-    desired::limits limits;
+    configuration::limits limits;
 };
 
 class state
@@ -99,7 +99,7 @@
     {
         return this->all.version;
     }
-    const desired::limits& limits() const
+    const configuration::limits& limits() const
     {
         return this->all.limits;
     }
@@ -142,6 +142,6 @@
 // The service for one request: by weight, evenly over the requests, the same for one id.
 const target& choose_target(const route& of, std::string_view request_id);
 
-} // namespace pistachiospan::desired
+} // namespace pistachiospan::configuration
 
 #endif
--- a/pistachiospan/desired/desired_test.cpp
+++ b/pistachiospan/configuration/configuration_test.cpp
@@ -1,4 +1,4 @@
-#include "pistachiospan/desired/desired.hpp"
+#include "pistachiospan/configuration/configuration.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -7,7 +7,7 @@
 namespace
 {
 
-desired::content two_routes()
+configuration::content two_routes()
 {
     return {.version = 7,
             .services = {{.name = "orders"}},
@@ -27,7 +27,7 @@
 // Guards against a shorter prefix that hides a longer one.
 BOOST_AUTO_TEST_CASE(longest_prefix_wins)
 {
-    const desired::state active(two_routes());
+    const configuration::state active(two_routes());
     BOOST_TEST(active.find_route("a.example", "/api/v2/x")->name == "deep");
     BOOST_TEST(active.find_route("a.example", "/api/v2")->name == "all");
     BOOST_TEST(active.find_route("a.example", "/api/x/y")->name == "all");
@@ -36,7 +36,7 @@
 // Guards against routes of another host and against paths that only begin alike.
 BOOST_AUTO_TEST_CASE(no_route_for_other_host_or_path)
 {
-    const desired::state active(two_routes());
+    const configuration::state active(two_routes());
     BOOST_TEST(active.find_route("b.example", "/api/x") == nullptr);
     BOOST_TEST(active.find_route("a.example", "/apix/x") == nullptr);
     BOOST_TEST(active.find_route("a.example", "/api") == nullptr);
@@ -46,7 +46,7 @@
 // Guards against an unknown or empty key that finds an account.
 BOOST_AUTO_TEST_CASE(keys_name_their_account)
 {
-    const desired::state active(two_routes());
+    const configuration::state active(two_routes());
     BOOST_TEST(active.find_account("key-2")->name == "shop");
     BOOST_TEST(active.find_account("") == nullptr);
     BOOST_TEST(active.find_account("key-3") == nullptr);
@@ -55,15 +55,15 @@
 // Guards against a split that misses its weights, or that changes between two looks.
 BOOST_AUTO_TEST_CASE(targets_follow_their_weights)
 {
-    const desired::route split{
+    const configuration::route split{
         .targets = {{.service = "a", .weight = 90}, {.service = "b", .weight = 10}}};
     int to_b = 0;
     constexpr int requests = 10000;
     for (int each = 0; each < requests; ++each)
     {
         const std::string id = "request-" + std::to_string(each);
-        const std::string chosen = desired::choose_target(split, id).service;
-        BOOST_TEST(chosen == desired::choose_target(split, id).service);
+        const std::string chosen = configuration::choose_target(split, id).service;
+        BOOST_TEST(chosen == configuration::choose_target(split, id).service);
         to_b += chosen == "b" ? 1 : 0;
     }
     BOOST_TEST(to_b > requests * 0.08);
--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -348,7 +348,7 @@
 
 void edge_daemon::implementation::change_operator_row(const mirror::row& changed)
 {
-    if (this->words.is_desired_state(changed.key))
+    if (this->words.is_configuration(changed.key))
         this->activate(changed);
     else
         this->change_evacuations();
@@ -356,22 +356,24 @@
 
 void edge_daemon::implementation::activate(const mirror::row& changed)
 {
-    result<desired::content> decoded = this->words.decode_desired_state(changed.value);
+    result<configuration::content> decoded =
+        this->words.decode_configuration(changed.value);
     if (!decoded)
     {
-        this->log("desired_state_rejected", {{"row_version", changed.version},
+        this->log("configuration_rejected", {{"row_version", changed.version},
                                              {"problem", decoded.error().message}});
         return;
     }
-    const auto next = std::make_shared<const desired::state>(std::move(decoded.value()));
-    const desired::state* active = this->requests.active();
+    const auto next =
+        std::make_shared<const configuration::state>(std::move(decoded.value()));
+    const configuration::state* active = this->requests.active();
     if (active != nullptr && next->version() <= active->version())
     {
-        this->log("desired_state_older",
+        this->log("configuration_older",
                   {{"version", next->version()}, {"active", active->version()}});
         return;
     }
-    this->requests.set_desired(monotonic_now(), next);
+    this->requests.set_configuration(monotonic_now(), next);
     this->callers.set_limits({.max_header = next->limits().max_header,
                               .max_body = next->limits().max_body,
                               .max_buffered = this->options.memory / body_memory_divisor,
@@ -380,7 +382,7 @@
                                                  reserved_descriptors,
                               .header_timeout = next->limits().header_timeout,
                               .idle_timeout = next->limits().idle_timeout});
-    this->log("desired_state", {{"version", next->version()},
+    this->log("configuration", {{"version", next->version()},
                                 {"row_version", changed.version},
                                 {"routes", next->routes().size()},
                                 {"accounts", next->accounts().size()}});
@@ -456,7 +458,7 @@
 
 void edge_daemon::implementation::send_report(time_point now)
 {
-    const desired::state* active = this->requests.active();
+    const configuration::state* active = this->requests.active();
     const bool whole =
         this->stopping || this->newcomer || this->report_sequence % whole_report == 0;
     this->newcomer = false;
@@ -469,7 +471,7 @@
                       .caller_address = this->options.callers,
                       .ready = this->ready(),
                       .draining = this->stopping,
-                      .desired_version = active == nullptr ? 0 : active->version(),
+                      .configuration_version = active == nullptr ? 0 : active->version(),
                       .reaches_store = this->reaches_store(now),
                       .operator_change = this->operator_rows.newest_change(),
                       .registry_change = this->registry.newest_change(),
@@ -491,7 +493,7 @@
         return;
     }
     const std::string name = said.value().vm.value;
-    const std::uint64_t version = said.value().desired_version;
+    const std::uint64_t version = said.value().configuration_version;
     const time_point now = monotonic_now();
     const fleet::membership::observation seen =
         this->vms.observe(now, std::move(said.value()));
@@ -504,13 +506,13 @@
         this->newcomer = true;
         this->apply_vm_count();
     }
-    const desired::state* active = this->requests.active();
+    const configuration::state* active = this->requests.active();
     const std::uint64_t own = active == nullptr ? 0 : active->version();
     // The own read may hang on a connection that has gone silent.
     if (version > own && this->reaches_store(now) &&
         now - this->hurried >= hurry_interval)
     {
-        this->log("desired_state_behind",
+        this->log("configuration_behind",
                   {{"peer", name}, {"peer_version", version}, {"active", own}});
         this->hurried = now;
         this->follow_operator.hurry();
@@ -572,13 +574,13 @@
 
 void edge_daemon::implementation::share_demand(time_point now)
 {
-    const desired::state* active = this->requests.active();
+    const configuration::state* active = this->requests.active();
     if (active == nullptr)
         return;
     const std::map<std::string, allowance::remote_share> remote =
         this->vms.remote_shares(now);
     this->allowances.set_vm_count(this->vms.live_count(now));
-    for (const desired::account& each : active->accounts())
+    for (const configuration::account& each : active->accounts())
     {
         const auto found = remote.find(each.name);
         this->allowances.set_remote(now, each.name,
@@ -672,13 +674,13 @@
 void edge_daemon::implementation::answer_metrics(http1::exchange_id id,
                                                  const http1::request&)
 {
-    const desired::state* active = this->requests.active();
+    const configuration::state* active = this->requests.active();
     const gateway::counts totals = this->requests.totals();
     const auto set = [this](const std::string& name, auto value)
     {
         this->numbers.set(name, static_cast<double>(value));
     };
-    set("desired_version", active == nullptr ? 0 : active->version());
+    set("configuration_version", active == nullptr ? 0 : active->version());
     set("requests_pending", totals.pending);
     set("attempts", totals.attempts);
     set("retries", totals.retries);
--- a/pistachiospan/edge/edge.hpp
+++ b/pistachiospan/edge/edge.hpp
@@ -48,7 +48,7 @@
 // Tables of the platform's store that the daemon follows.
 enum class table
 {
-    operator_rows, // desired state and evacuations
+    operator_rows, // configuration and evacuations
     upstreams,     // registry of upstreams
 };
 
@@ -78,7 +78,7 @@
     std::string data_centre;
 };
 
-// What the caller's request and the desired state look like on this platform.
+// What the caller's request and the configuration look like on this platform.
 struct translation
 {
     std::function<result<gateway::caller_request>(const http1::request&)> decode_request;
@@ -91,9 +91,10 @@
     std::function<http1::response(std::span<const std::string> addresses, duration ttl)>
         encode_directory;
     std::function<bool(const http1::request&)> is_readiness;
-    // True if the row is the desired state.
-    std::function<bool(std::string_view key)> is_desired_state;
-    std::function<result<desired::content>(std::string_view value)> decode_desired_state;
+    // True if the row is the configuration.
+    std::function<bool(std::string_view key)> is_configuration;
+    std::function<result<configuration::content>(std::string_view value)>
+        decode_configuration;
     // The data centre that a row evacuates.
     std::function<std::optional<std::string>(std::string_view key)> decode_evacuation;
     std::function<result<upstreams::entry>(std::string_view key, std::string_view value)>
--- a/pistachiospan/edge/internal/metrics.hpp
+++ b/pistachiospan/edge/internal/metrics.hpp
@@ -1,4 +1,4 @@
-// Prometheus metrics of one edge daemon. Label values come from the desired state and
+// Prometheus metrics of one edge daemon. Label values come from the configuration and
 // from fixed lists, so their number is bounded.
 
 #ifndef PISTACHIOSPAN_EDGE_INTERNAL_METRICS_HPP
--- a/pistachiospan/fleet/fleet.cpp
+++ b/pistachiospan/fleet/fleet.cpp
@@ -62,10 +62,14 @@
     const unsigned state = (from.ready ? ready_bit : 0U) |
                            (from.draining ? draining_bit : 0U) |
                            (from.reaches_store ? reaches_store_bit : 0U);
-    nlohmann::json all = {from.vm.value,        from.started,
-                          from.sequence,        state,
-                          from.desired_version, from.operator_change,
-                          from.registry_change, std::move(demand),
+    nlohmann::json all = {from.vm.value,
+                          from.started,
+                          from.sequence,
+                          state,
+                          from.configuration_version,
+                          from.operator_change,
+                          from.registry_change,
+                          std::move(demand),
                           std::move(services)};
     if (!from.brief)
     {
@@ -93,7 +97,7 @@
                     .sequence = all[2].get<std::uint64_t>(),
                     .ready = (state & ready_bit) != 0,
                     .draining = (state & draining_bit) != 0,
-                    .desired_version = all[4].get<std::uint64_t>(),
+                    .configuration_version = all[4].get<std::uint64_t>(),
                     .reaches_store = (state & reaches_store_bit) != 0,
                     .operator_change = all[5].get<std::uint64_t>(),
                     .registry_change = all[6].get<std::uint64_t>()};
--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -37,7 +37,7 @@
     std::string caller_address; // where callers connect, ip:port
     bool ready = false;         // serves callers
     bool draining = false;      // stops soon
-    std::uint64_t desired_version = 0;
+    std::uint64_t configuration_version = 0;
     bool reaches_store = true; // its last read of the store succeeded
     // Newest changes that it knows: of the operator's rows and of the registry.
     std::uint64_t operator_change = 0;
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -52,8 +52,8 @@
     {
     case refusal::none:
         return "none";
-    case refusal::no_desired_state:
-        return "no_desired_state";
+    case refusal::no_configuration:
+        return "no_configuration";
     case refusal::no_route:
         return "no_route";
     case refusal::no_key:
@@ -81,12 +81,13 @@
 {
 }
 
-void gateway::set_desired(time_point now, std::shared_ptr<const desired::state> next)
+void gateway::set_configuration(time_point now,
+                                std::shared_ptr<const configuration::state> next)
 {
-    const bool first = this->desired == nullptr;
-    this->desired = std::move(next);
-    this->parts.upstreams.set_services(this->desired->services());
-    this->parts.allowances.set_accounts(now, this->desired->accounts(), !first);
+    const bool first = this->configuration == nullptr;
+    this->configuration = std::move(next);
+    this->parts.upstreams.set_services(this->configuration->services());
+    this->parts.allowances.set_accounts(now, this->configuration->accounts(), !first);
 }
 
 void gateway::set_vm_count(std::size_t count)
@@ -117,7 +118,9 @@
 void gateway::submit(time_point now, exchange_id exchange, caller_request incoming)
 {
     ++this->total.submitted;
-    pending made{.request = std::move(incoming), .desired = this->desired, .begun = now};
+    pending made{.request = std::move(incoming),
+                 .configuration = this->configuration,
+                 .begun = now};
     made.deadline = now + made.request.time_left.value_or(this->options.default_time);
     if (!this->admit(now, exchange, made))
         return;
@@ -129,20 +132,20 @@
 // Finds route and account and takes a token. Answers the request itself on refusal.
 bool gateway::admit(time_point now, exchange_id exchange, pending& made)
 {
-    if (!made.desired)
+    if (!made.configuration)
     {
         this->refuse(now, exchange, made,
-                     {.reason = refusal::no_desired_state,
+                     {.reason = refusal::no_configuration,
                       .retry_after = this->options.start_retry});
         return false;
     }
-    made.route = made.desired->find_route(made.request.host, made.request.path);
+    made.route = made.configuration->find_route(made.request.host, made.request.path);
     if (made.route == nullptr)
     {
         this->refuse(now, exchange, made, {.reason = refusal::no_route});
         return false;
     }
-    made.account = made.desired->find_account(made.request.key);
+    made.account = made.configuration->find_account(made.request.key);
     if (made.account == nullptr && !made.route->open)
     {
         this->refuse(now, exchange, made, {.reason = refusal::no_key});
@@ -150,7 +153,8 @@
     }
     if (made.route->timeout > duration(0))
         made.deadline = std::min(made.deadline, now + made.route->timeout);
-    made.service = desired::choose_target(*made.route, made.request.request_id).service;
+    made.service =
+        configuration::choose_target(*made.route, made.request.request_id).service;
     if (made.account == nullptr)
         return true;
     const allowance::admission token =
@@ -205,7 +209,7 @@
          .address = of.chosen.address,
          .account = of.account == nullptr ? std::string() : of.account->name,
          .time_left = left,
-         .repeatable = of.route->kind == desired::repeatability::idempotent});
+         .repeatable = of.route->kind == configuration::repeatability::idempotent});
 }
 
 void gateway::finish_attempt(time_point now, exchange_id exchange, call_id call,
@@ -225,7 +229,7 @@
         this->requests.erase(found);
         return;
     }
-    const bool idempotent = of.route->kind == desired::repeatability::idempotent;
+    const bool idempotent = of.route->kind == configuration::repeatability::idempotent;
     switch (ended.end)
     {
     case attempt_end::answered:
@@ -325,7 +329,7 @@
         return;
     pending& of = found->second;
     this->report(now, "left", of, refusal::none, 0, {});
-    if (of.route->kind != desired::repeatability::idempotent && of.call != 0)
+    if (of.route->kind != configuration::repeatability::idempotent && of.call != 0)
     {
         of.caller_gone = true;
         return;
@@ -354,7 +358,7 @@
          .reason = reason,
          .status = status,
          .attempts = of.attempts,
-         .version = of.desired ? of.desired->version() : 0,
+         .version = of.configuration ? of.configuration->version() : 0,
          .elapsed = now - of.begun,
          .time_left = of.deadline - now,
          .expected = of.chosen.expected,
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -3,7 +3,7 @@
 // Example:
 //
 //     gateway requests({.seed = 1}, {upstreams, allowances}, {.send = send, ...});
-//     requests.set_desired(now, active);
+//     requests.set_configuration(now, active);
 //     requests.submit(now, exchange, request);
 //     requests.finish_attempt(now, exchange, attempt, result);
 //     requests.caller_left(now, exchange);
@@ -16,7 +16,7 @@
 #define PISTACHIOSPAN_GATEWAY_GATEWAY_HPP
 
 #include "pistachiospan/allowance/allowance.hpp"
-#include "pistachiospan/desired/desired.hpp"
+#include "pistachiospan/configuration/configuration.hpp"
 #include "pistachiospan/retry/retry.hpp"
 #include "pistachiospan/upstreams/upstreams.hpp"
 
@@ -78,7 +78,7 @@
 enum class refusal
 {
     none,
-    no_desired_state, // this VM has just started
+    no_configuration, // this VM has just started
     no_route,
     no_key,          // the key is missing or unknown
     over_allowance,  // the account's rate and burst are used up
@@ -111,7 +111,7 @@
     refusal reason = refusal::none;
     int status = 0; // of the upstream
     std::uint32_t attempts = 0;
-    std::uint64_t version = 0; // of the desired state that decided
+    std::uint64_t version = 0; // of the configuration that decided
     duration elapsed{0};
     duration time_left{0};
     duration expected{0}; // completion, when the upstream was chosen
@@ -143,7 +143,7 @@
     // answers.
     std::uint32_t most_unsent = 3;
     duration unknown_retry = std::chrono::milliseconds(200); // after a full upstream
-    duration start_retry = std::chrono::milliseconds(300);   // without a desired state
+    duration start_retry = std::chrono::milliseconds(300);   // without a configuration
     std::uint64_t seed = 0;
 };
 
@@ -167,10 +167,11 @@
 public:
     gateway(gateway_options options, gateway_parts parts, gateway_hooks hooks);
 
-    void set_desired(time_point now, std::shared_ptr<const desired::state> next);
-    const desired::state* active() const
+    void set_configuration(time_point now,
+                           std::shared_ptr<const configuration::state> next);
+    const configuration::state* active() const
     {
-        return this->desired.get();
+        return this->configuration.get();
     }
     // VMs that share the retry reserve, this one included.
     void set_vm_count(std::size_t count);
@@ -186,9 +187,9 @@
     struct pending
     {
         caller_request request;
-        std::shared_ptr<const desired::state> desired;
-        const desired::route* route = nullptr;
-        const desired::account* account = nullptr;
+        std::shared_ptr<const configuration::state> configuration;
+        const configuration::route* route = nullptr;
+        const configuration::account* account = nullptr;
         std::string service;
         time_point begun;
         time_point deadline;
@@ -220,7 +221,7 @@
     gateway_options options;
     gateway_parts parts;
     gateway_hooks hooks;
-    std::shared_ptr<const desired::state> desired;
+    std::shared_ptr<const configuration::state> configuration;
     std::unordered_map<exchange_id, pending> requests;
     std::map<std::string, retry::policy> retries;
     std::size_t vm_count = 1;
--- a/pistachiospan/gateway/gateway_test.cpp
+++ b/pistachiospan/gateway/gateway_test.cpp
@@ -40,28 +40,29 @@
                                        .address = id,
                                        .data_centre = "n1",
                                        .slots = 3});
-        this->requests.set_desired(start, std::make_shared<desired::state>(content()));
+        this->requests.set_configuration(
+            start, std::make_shared<configuration::state>(content()));
     }
 
-    static desired::content content()
+    static configuration::content content()
     {
-        const auto route = [](const char* prefix, desired::repeatability kind)
+        const auto route = [](const char* prefix, configuration::repeatability kind)
         {
-            return desired::route{.name = prefix,
-                                  .host = "a.example",
-                                  .prefix = prefix,
-                                  .kind = kind,
-                                  .timeout = 800ms,
-                                  .most_attempts = 2,
-                                  .targets = {{.service = "orders"}}};
+            return configuration::route{.name = prefix,
+                                        .host = "a.example",
+                                        .prefix = prefix,
+                                        .kind = kind,
+                                        .timeout = 800ms,
+                                        .most_attempts = 2,
+                                        .targets = {{.service = "orders"}}};
         };
-        desired::content all{
+        configuration::content all{
             .version = 1,
             .services = {{.name = "orders"}},
             .accounts = {{.name = "shop", .keys = {"key"}},
                          {.name = "small", .keys = {"small"}, .rate = 1, .burst = 1}},
-            .routes = {route("/read/", desired::repeatability::idempotent),
-                       route("/order/", desired::repeatability::once)}};
+            .routes = {route("/read/", configuration::repeatability::idempotent),
+                       route("/order/", configuration::repeatability::once)}};
         return all;
     }
 
@@ -201,10 +202,10 @@
 {
     world all;
     all.ask(1, "/order/1");
-    desired::content next = world::content();
+    configuration::content next = world::content();
     next.version = 2;
     next.accounts.front().keys.clear();
-    all.requests.set_desired(start, std::make_shared<desired::state>(next));
+    all.requests.set_configuration(start, std::make_shared<configuration::state>(next));
     all.ask(2, "/order/1");
     BOOST_TEST(all.sent.size() == 1U);
     BOOST_TEST((all.refused.front().reason == refusal::no_key));
@@ -249,8 +250,8 @@
     BOOST_TEST(all.sent.at(1).time_left.count() == duration(790ms).count());
 }
 
-// Guards against a VM without a desired state that answers 404 or 401.
-BOOST_AUTO_TEST_CASE(no_desired_state_is_not_run)
+// Guards against a VM without a configuration that answers 404 or 401.
+BOOST_AUTO_TEST_CASE(no_configuration_is_not_run)
 {
     upstreams::upstream_set none({}, {});
     allowance::ledger allowances({});
@@ -263,6 +264,6 @@
          }});
     fresh.submit(start, 1, {.request_id = "1", .host = "a", .path = "/"});
     BOOST_TEST_REQUIRE(refused.size() == 1U);
-    BOOST_TEST((refused.front().reason == refusal::no_desired_state));
+    BOOST_TEST((refused.front().reason == refusal::no_configuration));
     BOOST_TEST(!refused.front().may_have_run);
 }
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -169,9 +169,9 @@
     return true;
 }
 
-void upstream_set::set_services(std::span<const desired::service> services)
+void upstream_set::set_services(std::span<const configuration::service> services)
 {
-    for (const desired::service& each : services)
+    for (const configuration::service& each : services)
     {
         service_group& group = this->groups[each.name];
         group.cold_time = each.cold_time;
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -19,7 +19,7 @@
 #ifndef PISTACHIOSPAN_UPSTREAMS_UPSTREAMS_HPP
 #define PISTACHIOSPAN_UPSTREAMS_UPSTREAMS_HPP
 
-#include "pistachiospan/desired/desired.hpp"
+#include "pistachiospan/configuration/configuration.hpp"
 
 #include <deque>
 #include <list>
@@ -189,7 +189,7 @@
     // Returns true if it was known.
     bool remove(std::string_view id);
 
-    void set_services(std::span<const desired::service> services);
+    void set_services(std::span<const configuration::service> services);
     // VMs that may send to the same upstreams, this one included.
     void set_vm_count(std::size_t count);
 
--- a/pistachiospan/upstreams/upstreams_test.cpp
+++ b/pistachiospan/upstreams/upstreams_test.cpp
@@ -32,7 +32,7 @@
     for (const auto& [data_centre, region] : six)
         for (const char* number : {"a", "b"})
             known.update(start, entry_of(data_centre + number, data_centre));
-    const std::vector<desired::service> services = {
+    const std::vector<configuration::service> services = {
         {.name = "orders", .cold_time = 3s, .cold_rate = 14}};
     known.set_services(services);
     return known;
@@ -141,7 +141,7 @@
         upstreams::entry cold = entry_of("n1a", "n1");
         cold.cold_left = 3s;
         known.update(start, cold);
-        const std::vector<desired::service> services = {
+        const std::vector<configuration::service> services = {
             {.name = "orders", .cold_time = 3s, .cold_rate = rate}};
         known.set_services(services);
         known.set_vm_count(vms);
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -18,7 +18,7 @@
 
 // The platform's bounds, and the time without faults after which they hold.
 constexpr duration contact = std::chrono::seconds(3);
-constexpr duration desired_state_bound = std::chrono::seconds(2);
+constexpr duration configuration_bound = std::chrono::seconds(2);
 constexpr duration drain_bound = std::chrono::seconds(2);
 constexpr duration recovery_bound = std::chrono::seconds(15);
 constexpr duration grace = std::chrono::seconds(3);
@@ -47,7 +47,7 @@
       began(monotonic_now()), now(this->began), store(base, this->address("0.1:18990")),
       callers(base, this->options.seed + 1)
 {
-    this->put_desired_state();
+    this->put_configuration();
     for (std::size_t index = 0; index < this->options.upstreams; ++index)
         this->make_upstream(index);
     for (std::size_t index = 0; index < this->options.vms; ++index)
@@ -95,12 +95,12 @@
         platform::testing::entry_text(of.entry_address, draining ? "draining" : "ready"));
 }
 
-void soak::put_desired_state()
+void soak::put_configuration()
 {
     ++this->version;
     this->store.put(
-        std::string(names::operator_table), std::string(names::desired_state_key),
-        platform::testing::desired_state_text(
+        std::string(names::operator_table), std::string(names::configuration_key),
+        platform::testing::configuration_text(
             {.version = this->version,
              .key = numbered("key-", static_cast<std::size_t>(this->key_number)),
              .read_is_open = false,
@@ -162,7 +162,7 @@
         this->break_promise("request " + id + " reached leaving " + at.id);
     const auto key = this->withdrawn.find(of.key);
     if (key != this->withdrawn.end() && this->in_touch(*of.vm) &&
-        of.sent > key->second + desired_state_bound)
+        of.sent > key->second + configuration_bound)
         this->break_promise("request " + id + " ran with a withdrawn key");
 }
 
@@ -242,7 +242,7 @@
     this->withdrawn[numbered("key-", static_cast<std::size_t>(this->key_number))] =
         this->now;
     ++this->key_number;
-    this->put_desired_state();
+    this->put_configuration();
     this->note("withdraw a key");
 }
 
--- a/tools/soak/soak.hpp
+++ b/tools/soak/soak.hpp
@@ -68,7 +68,7 @@
     void change_keys();
     void change_upstream();
     void heal();
-    void put_desired_state();
+    void put_configuration();
     void put_entry(const upstream_state& of);
     void note_run(const upstream_state& at, const http1::request& seen);
     void collect_processes();
