Leave a VM whose news of the store are old before a change is late

A reader of the store whose link has gone silent, or that is paused, was followed for up to 2.5 to 4 s, while a change must be known after 2 s: its long read ended after 2.9 s, it kept trying for 0.9 s, and its next report told so. Ruled out: load (the delays are the code's timeouts), the relay between the VMs. Change: reports tell the age of the sender's last read; reads wait 0.6 s instead of 2 s; a VM with news older than 1.5 s is not followed; sources are chosen each 0.25 s; a late read is dropped when there is a VM to follow. The soak keeps a harmed link until it is mended.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -33,7 +33,9 @@
 // While the store does not answer, and others do, it is tried again after this time.
 constexpr duration store_retry = std::chrono::milliseconds(700);
 // A VM that knows less than another one for this long reads the store itself.
-constexpr duration behind_limit = std::chrono::milliseconds(900);
+constexpr duration behind_limit = std::chrono::milliseconds(500);
+// Whom to follow is chosen again this often.
+constexpr duration source_interval = std::chrono::milliseconds(250);
 // Least time between two reads for a version that another VM has.
 constexpr duration hurry_interval = std::chrono::milliseconds(400);
 // One in this many reports is whole.
@@ -96,11 +98,13 @@
     void remove_upstream(const std::string& id);
 
     void tick();
+    void check_source();
     void publish_changes();
     void send_report(time_point now);
     void receive_report(std::string_view datagram);
     std::string choose_source(time_point now) const;
     bool reaches_store(time_point now) const;
+    duration store_age(time_point now) const;
     void catch_up(time_point now);
     void share_demand(time_point now);
     void read_vms();
@@ -137,6 +141,7 @@
     internal::follower follow_operator;
     internal::follower follow_registry;
     periodic_timer ticker;
+    periodic_timer source_checker;
     one_shot_timer vm_reader;
     one_shot_timer registrar;
     one_shot_timer exit_timer;
@@ -208,6 +213,7 @@
                       this->store, this->peers, this->registry,
                       this->make_follower_hooks("upstreams")),
       ticker(base, this->options.report_interval, [this] { this->tick(); }),
+      source_checker(base, source_interval, [this] { this->check_source(); }),
       vm_reader(base, [this] { this->read_vms(); }),
       registrar(base, [this] { this->register_self(); }),
       exit_timer(base, [this] { this->finish_when_idle(); }), started(process_number())
@@ -440,8 +446,13 @@
         this->log("vm_lost", {{"peer", silent.value}});
     this->share_demand(now);
     this->send_report(now);
-    this->follow_operator.reconsider();
-    this->follow_registry.reconsider();
+}
+
+void edge_daemon::implementation::check_source()
+{
+    const time_point now = monotonic_now();
+    this->follow_operator.reconsider(now);
+    this->follow_registry.reconsider(now);
     this->catch_up(now);
 }
 
@@ -472,9 +483,9 @@
                       .ready = this->ready(),
                       .draining = this->stopping,
                       .configuration_version = active == nullptr ? 0 : active->version(),
-                      .reaches_store = this->reaches_store(now),
                       .operator_change = this->operator_rows.newest_change(),
                       .registry_change = this->registry.newest_change(),
+                      .store_age = this->store_age(now),
                       .demand = this->allowances.report_demand(now, whole),
                       .services = this->known_upstreams.report_demand(now, whole)};
     this->vms.set_self(own);
@@ -524,7 +535,7 @@
 // region follows another region's reader, or whoever knows more.
 std::string edge_daemon::implementation::choose_source(time_point now) const
 {
-    if (const fleet::peer* reader = this->vms.reader(now))
+    if (const fleet::peer* reader = this->vms.reader(now, this->store_age(now)))
         return reader->said.peer_address;
     if (this->reaches_store(now) || now - this->store_tried >= store_retry)
         return {};
@@ -542,6 +553,12 @@
            this->follow_registry.reaches_store(now);
 }
 
+duration edge_daemon::implementation::store_age(time_point now) const
+{
+    return std::max(this->follow_operator.store_age(now),
+                    this->follow_registry.store_age(now));
+}
+
 // The VM that this one follows may itself hang on a dead connection.
 void edge_daemon::implementation::catch_up(time_point now)
 {
--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -93,6 +93,7 @@
     else
         this->copy.apply_changes(now, outcome.value());
     this->whole_needed = false;
+    this->store_read = now;
     this->backoff = this->options.first_backoff;
     if (!this->in_reach)
     {
@@ -123,22 +124,30 @@
     this->backoff = std::min(this->backoff * 2, this->options.longest_backoff);
 }
 
-void follower::reconsider()
+void follower::reconsider(time_point now)
 {
-    if (this->source.empty() || this->hooks.choose() == this->source)
+    const duration most = this->options.wait + this->options.late_after;
+    if (this->source.empty() && now - this->began <= most)
         return;
-    ++this->reads;
-    this->peers.cancel(this->relay_call);
+    if (this->hooks.choose() == this->source)
+        return;
+    this->give_up();
     this->next.start(duration(0));
 }
 
 void follower::hurry()
+{
+    this->give_up();
+    this->store_first = true;
+    this->next.start(duration(0));
+}
+
+// The read in progress may hang on a dead connection.
+void follower::give_up()
 {
     ++this->reads;
     this->store.interrupt(this->options.followed);
     this->peers.cancel(this->relay_call);
-    this->store_first = true;
-    this->next.start(duration(0));
 }
 
 } // namespace pistachiospan::edge::internal
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -15,8 +15,11 @@
     table followed = table::operator_rows;
     // Least time between two reads: changes that come close together share one read.
     duration pace = std::chrono::milliseconds(100);
-    // Time for which the store holds a read without changes.
-    duration wait = std::chrono::seconds(2);
+    // Time for which the store, or the VM followed, holds a read without changes. A VM
+    // that follows this one must see within it that the store still answers.
+    duration wait = std::chrono::milliseconds(600);
+    // A read of the store is late when it takes this much longer than it may wait.
+    duration late_after = std::chrono::milliseconds(300);
     // A short failure is not worth a change of the VM that reads.
     duration lost_after = std::chrono::milliseconds(900);
     duration first_backoff = std::chrono::milliseconds(50); // doubles up to the longest
@@ -45,8 +48,14 @@
     {
         return this->in_reach || now - this->failing_since < this->options.lost_after;
     }
-    // Reads elsewhere if the source in use is no longer the one to choose.
-    void reconsider();
+    // Reads elsewhere if the source in use is no longer the one to choose, or if the
+    // store is late and there is a VM to follow.
+    void reconsider(time_point now);
+    // Time since the last successful read of the store; `duration::max()` without any.
+    duration store_age(time_point now) const
+    {
+        return this->store_read ? now - *this->store_read : duration::max();
+    }
 
 private:
     void read();
@@ -55,6 +64,7 @@
     void finish_relayed(std::uint64_t number, const result<mirror::relay_page>& outcome);
     void finish(std::uint64_t number, const result<mirror::page>& outcome, bool whole);
     void fail(const error& problem);
+    void give_up();
 
     follower_options options;
     const store_access& store;
@@ -66,7 +76,8 @@
     bool whole_needed = true;
     bool in_reach = true; // the last read of the store succeeded
     time_point failing_since;
-    std::string source;       // of the read in progress; empty: the store
+    std::optional<time_point> store_read; // end of the last good read of the store
+    std::string source;                   // of the read in progress; empty: the store
     bool store_first = false; // the next read goes to the store whatever is chosen
     http1::call_id relay_call = 0;
     std::uint64_t relay_instance = 0;
--- a/pistachiospan/fleet/fleet.cpp
+++ b/pistachiospan/fleet/fleet.cpp
@@ -8,13 +8,15 @@
 namespace
 {
 
-constexpr std::size_t brief_fields = 9;
-constexpr std::size_t whole_fields = 12;
+constexpr std::size_t brief_fields = 10;
+constexpr std::size_t whole_fields = 13;
 
 // Bits of a report's state.
 constexpr unsigned ready_bit = 1;
 constexpr unsigned draining_bit = 2;
-constexpr unsigned reaches_store_bit = 4;
+
+// Ages are told in milliseconds. Older than this is told as this.
+constexpr std::chrono::milliseconds oldest_told{60000};
 
 // A brief report with all that the one before it said and it does not repeat.
 report complete(report brief, const report& before)
@@ -59,9 +61,10 @@
     nlohmann::json services = nlohmann::json::object();
     for (const upstreams::service_demand& each : from.services)
         services[each.service] = {static_cast<float>(each.rate), each.bound};
-    const unsigned state = (from.ready ? ready_bit : 0U) |
-                           (from.draining ? draining_bit : 0U) |
-                           (from.reaches_store ? reaches_store_bit : 0U);
+    const unsigned state =
+        (from.ready ? ready_bit : 0U) | (from.draining ? draining_bit : 0U);
+    const auto age = std::min(
+        std::chrono::floor<std::chrono::milliseconds>(from.store_age), oldest_told);
     nlohmann::json all = {from.vm.value,
                           from.started,
                           from.sequence,
@@ -69,6 +72,7 @@
                           from.configuration_version,
                           from.operator_change,
                           from.registry_change,
+                          age.count(),
                           std::move(demand),
                           std::move(services)};
     if (!from.brief)
@@ -98,21 +102,21 @@
                     .ready = (state & ready_bit) != 0,
                     .draining = (state & draining_bit) != 0,
                     .configuration_version = all[4].get<std::uint64_t>(),
-                    .reaches_store = (state & reaches_store_bit) != 0,
                     .operator_change = all[5].get<std::uint64_t>(),
-                    .registry_change = all[6].get<std::uint64_t>()};
-        for (const auto& [account, rate] : all[7].items())
+                    .registry_change = all[6].get<std::uint64_t>(),
+                    .store_age = std::chrono::milliseconds(all[7].get<std::uint32_t>())};
+        for (const auto& [account, rate] : all[8].items())
             made.demand.push_back({.account = account, .rate = rate.get<double>()});
-        for (const auto& [service, figures] : all[8].items())
+        for (const auto& [service, figures] : all[9].items())
             made.services.push_back(
                 {.service = service,
                  .rate = figures.at(0).get<double>(),
                  .bound = figures.at(1).get<std::map<std::string, double>>()});
         if (made.brief)
             return made;
-        made.data_centre = all[9].get<std::string>();
-        made.peer_address = all[10].get<std::string>();
-        made.caller_address = all[11].get<std::string>();
+        made.data_centre = all[10].get<std::string>();
+        made.peer_address = all[11].get<std::string>();
+        made.caller_address = all[12].get<std::string>();
         return made;
     }
     catch (const nlohmann::json::exception& problem)
@@ -167,6 +171,12 @@
     return seen;
 }
 
+bool membership::is_reader(time_point now, const peer& of) const
+{
+    return !of.said.draining &&
+           now - of.heard + of.said.store_age <= this->options.fresh_for;
+}
+
 std::vector<vm_id> membership::expire(time_point now)
 {
     std::vector<vm_id> silent;
@@ -219,15 +229,16 @@
     return static_cast<std::size_t>(live) + 1;
 }
 
-const peer* membership::reader(time_point now) const
+const peer* membership::reader(time_point now, duration own_store_age) const
 {
+    const bool own_fresh = own_store_age <= this->options.fresh_for;
     const std::string region = this->region_of(this->options.data_centre);
     for (const auto& [name, each] : this->peers)
     {
         // The VMs are ordered by name.
-        if (this->options.self < name && this->self.reaches_store)
+        if (this->options.self < name && own_fresh)
             return nullptr;
-        if (this->is_live(now, each) && each.said.reaches_store && !each.said.draining &&
+        if (this->is_reader(now, each) &&
             this->region_of(each.said.data_centre) == region)
             return &each;
     }
@@ -238,7 +249,7 @@
 {
     const std::string region = this->region_of(this->options.data_centre);
     for (const auto& [name, each] : this->peers)
-        if (this->is_live(now, each) && each.said.reaches_store && !each.said.draining &&
+        if (this->is_reader(now, each) &&
             this->region_of(each.said.data_centre) != region)
             return &each;
     return nullptr;
--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -38,10 +38,12 @@
     bool ready = false;         // serves callers
     bool draining = false;      // stops soon
     std::uint64_t configuration_version = 0;
-    bool reaches_store = true; // its last read of the store succeeded
     // Newest changes that it knows: of the operator's rows and of the registry.
     std::uint64_t operator_change = 0;
     std::uint64_t registry_change = 0;
+    // Time since its last successful read of the store, of the table that it read longest
+    // ago. A VM that follows another one has an old one.
+    duration store_age = duration(0);
     std::vector<allowance::demand> demand;           // by client account
     std::vector<upstreams::service_demand> services; // by service
 };
@@ -57,6 +59,10 @@
     std::map<std::string, std::string> regions; // data centre to region
     // A VM without a report for this long is not named to callers.
     duration live_for = std::chrono::milliseconds(2500);
+    // A VM whose last read of the store is older is not followed: changes must be known
+    // 2 s after they were made. More than the time of one read that waits for a change,
+    // and one report.
+    duration fresh_for = std::chrono::milliseconds(1500);
     // A silent VM may be cut off and still take requests, so its parts of the allowances
     // stay reserved this long. One that said that it stops does not keep them.
     duration reserved_for = std::chrono::seconds(120);
@@ -106,10 +112,10 @@
     std::size_t live_count(time_point now) const;
     // VMs that take requests or may do so, this one included.
     std::size_t known_count() const;
-    // Who reads the store for this VM's region, while that VM is heard: the first by name
-    // of those that reach the store. Null: this VM itself, or none that it hears.
-    const peer* reader(time_point now) const;
-    // The reader of another region; null without any.
+    // Who reads the store for this VM's region: the first by name of those whose last
+    // read is fresh. Null: this VM itself, or none that it hears.
+    const peer* reader(time_point now, duration own_store_age) const;
+    // A reader of another region; null without any.
     const peer* remote_reader(time_point now) const;
     // The live VM that knows the newest changes; null if none knows more than these.
     const peer* best_informed(time_point now, std::uint64_t operator_change,
@@ -127,6 +133,7 @@
 
 private:
     bool is_live(time_point now, const peer& of) const;
+    bool is_reader(time_point now, const peer& of) const;
     void reserve(time_point now, std::span<const vm_id> silent);
     std::string region_of(const std::string& data_centre) const;
 
--- a/pistachiospan/fleet/fleet_test.cpp
+++ b/pistachiospan/fleet/fleet_test.cpp
@@ -112,10 +112,12 @@
 // Guards against malformed datagrams, and against fields lost in encoding.
 BOOST_AUTO_TEST_CASE(reports_survive_encoding)
 {
-    const result<fleet::report> read =
-        fleet::decode(fleet::encode(report_of("a", "n1", 9)));
+    fleet::report told = report_of("a", "n1", 9);
+    told.store_age = 1200ms;
+    const result<fleet::report> read = fleet::decode(fleet::encode(told));
     BOOST_TEST_REQUIRE(read.has_value());
     BOOST_TEST(read.value().sequence == 9U);
+    BOOST_TEST(read.value().store_age.count() == duration(1200ms).count());
     BOOST_TEST(read.value().ready);
     BOOST_TEST(read.value().demand.front().rate == 10);
     BOOST_TEST(read.value().services.front().bound.at("north") == 2);
@@ -129,22 +131,35 @@
     fleet::membership vms = make("n1"); // vm-0 in the north
     vms.observe(start, report_of("vm-1", "n2"));
     vms.observe(start, report_of("vm-2", "s1"));
-    BOOST_TEST(vms.reader(start) == nullptr);
+    BOOST_TEST(vms.reader(start, 0s) == nullptr);
     vms.observe(start, report_of("a-first", "n2"));
-    BOOST_TEST(vms.reader(start)->said.vm.value == "a-first");
+    BOOST_TEST(vms.reader(start, 0s)->said.vm.value == "a-first");
     // Silent, stopping or cut off from the store: the next one reads.
-    BOOST_TEST(vms.reader(start + 5s) == nullptr);
+    BOOST_TEST(vms.reader(start + 5s, 0s) == nullptr);
     fleet::report cut_off = report_of("a-first", "n2", 2);
-    cut_off.reaches_store = false;
+    cut_off.store_age = 3s;
     vms.observe(start, cut_off);
-    BOOST_TEST(vms.reader(start) == nullptr);
-    fleet::report own = report_of("vm-0", "n1");
-    own.reaches_store = false;
-    vms.set_self(own);
-    BOOST_TEST(vms.reader(start)->said.vm.value == "vm-1");
+    BOOST_TEST(vms.reader(start, 0s) == nullptr);
+    BOOST_TEST(vms.reader(start, 3s)->said.vm.value == "vm-1");
     BOOST_TEST(vms.remote_reader(start)->said.vm.value == "vm-2");
 }
 
+// Guards against a VM that follows a paused one, or one whose reads of the store hang,
+// for longer than the 2 s after which a change must be known (seed 903 of the soak).
+BOOST_AUTO_TEST_CASE(vm_with_old_news_is_not_followed)
+{
+    fleet::membership vms = make("n1");
+    vms.observe(start, report_of("a-first", "n2"));
+    BOOST_TEST(vms.reader(start + 1200ms, 0s) != nullptr);
+    BOOST_TEST(vms.reader(start + 1600ms, 0s) == nullptr);
+    BOOST_TEST(vms.live_count(start + 1600ms) == 2U);
+    fleet::report hanging = report_of("a-first", "n2", 2);
+    hanging.store_age = 1400ms;
+    vms.observe(start + 2s, hanging);
+    BOOST_TEST(vms.reader(start + 2s, 0s) != nullptr);
+    BOOST_TEST(vms.reader(start + 2200ms, 0s) == nullptr);
+}
+
 // Guards against a VM that follows one whose view of the store stands still.
 BOOST_AUTO_TEST_CASE(newer_changes_elsewhere_are_noticed)
 {
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -131,7 +131,7 @@
 // The platform's "in touch", for a VM and for the store.
 bool soak::in_touch(const vm_process& vm) const
 {
-    return vm.running() && !vm.paused && vm.stop_begun == time_point() &&
+    return vm.running() && !vm.paused && !vm.cut_off && vm.stop_begun == time_point() &&
            this->now - vm.last_fault > contact &&
            this->now - this->store_fault_until > contact;
 }
@@ -216,9 +216,7 @@
         this->note(kind + " between store and " + this->vms.at(index)->name());
         this->store_links.at(index)->set_fault(fault);
         this->vms.at(index)->last_fault = this->now;
-        // A link that stays harmed keeps its VM out of touch.
-        if (fault != link_fault::none)
-            this->vms.at(index)->last_fault = this->now + std::chrono::hours(1);
+        this->vms.at(index)->cut_off = fault != link_fault::none;
         return;
     }
     upstream_state& at = this->upstreams.at(this->pick(this->upstreams.size()));
@@ -338,6 +336,7 @@
     {
         vm->signal(SIGCONT);
         vm->paused = false;
+        vm->cut_off = false;
         vm->last_fault = this->now;
     }
     for (upstream_state& each : this->upstreams)
--- a/tools/soak/vm_process.hpp
+++ b/tools/soak/vm_process.hpp
@@ -55,6 +55,7 @@
     time_point process_fault; // of the process: start, pause, resume, kill
     time_point stop_begun;    // SIGTERM was sent; the epoch: none since the start
     bool paused = false;
+    bool cut_off = false;    // its link to the store is harmed, also across restarts
     bool clean_stop = false; // nothing but the SIGTERM has happened since it was sent
 
 private:
