Reset a connection whose call is given up

A request written to a connection across a cut was given up at its timeout; the kernel delivered it when the cut was over, 6 s later, to an upstream that was evacuated meanwhile, and it ran for nobody. Ruled out: the choice of the upstream and the evacuation's ramp (sent before either). Change: the socket is closed with a reset when a call times out, is cancelled or breaks. Test: request_that_is_given_up_is_not_delivered_later, fails without the change.

--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -104,6 +104,7 @@
     void finish(connection& used, call_result outcome, bool keep);
     void keep_idle(connection& used, duration most);
     void close(connection& ended);
+    void abort(connection& ended);
     void deliver();
 
     event_base* base;
@@ -356,8 +357,10 @@
     const duration most = stated.value_or(std::chrono::seconds(4));
     if (keep && most > duration(0))
         this->keep_idle(used, most);
-    else
+    else if (this->finished.back().outcome.end == call_end::answered)
         this->close(used);
+    else
+        this->abort(used);
 }
 
 void client::implementation::keep_idle(connection& used, duration most)
@@ -385,6 +388,14 @@
     this->open.erase(ended.id);
 }
 
+// A request that was given up must not arrive later, as it would after a link is whole
+// again: it would run for nobody.
+void client::implementation::abort(connection& ended)
+{
+    internal::reset_on_close(bufferevent_getfd(ended.socket.get()));
+    this->close(ended);
+}
+
 void client::implementation::deliver()
 {
     this->delivering.swap(this->finished);
@@ -405,7 +416,7 @@
         return;
     connection& used = *found->second;
     this->calls.erase(found);
-    this->close(used);
+    this->abort(used);
 }
 
 client::client(event_base* base, client_options options)
--- a/pistachiospan/http1/http1_test.cpp
+++ b/pistachiospan/http1/http1_test.cpp
@@ -6,7 +6,10 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
+#include <cerrno>
 #include <csignal>
 
 using namespace pistachiospan;
@@ -320,6 +323,54 @@
     BOOST_TEST(events.run([&] { return server.connections() == 0; }));
 }
 
+// Guards against a request that the kernel delivers long after it was given up, when a
+// link that was cut is whole again: it then runs for nobody, at an upstream that may have
+// been drained since (own day cut-zones: 7 s later).
+BOOST_AUTO_TEST_CASE(request_that_is_given_up_is_not_delivered_later)
+{
+    for (const bool cancelled : {false, true})
+    {
+        loop events;
+        const sockaddr_in local = http1::internal::parse_address(raw_address);
+        const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+        const int on = 1;
+        setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        BOOST_TEST_REQUIRE(bind(listener, reinterpret_cast<const sockaddr*>(&local),
+                                sizeof(local)) == 0);
+        BOOST_TEST_REQUIRE(listen(listener, 1) == 0);
+        http1::client client(events.base.get(), {});
+        bool ended = false;
+        const http1::call_id call =
+            client.send(raw_address, get("7"), {.timeout = 100ms},
+                        [&](const http1::call_result&) { ended = true; });
+        const int accepted = ::accept(listener, nullptr, nullptr);
+        if (cancelled)
+        {
+            events.run([&, until = event_loop::monotonic_now() + 50ms]
+                       { return event_loop::monotonic_now() > until; });
+            client.cancel(call);
+        }
+        else
+            events.run([&] { return ended; });
+        // The connection is reset, which drops what has not arrived; it does not end.
+        std::array<char, 4096> bytes{};
+        bool closed = false;
+        bool reset = false;
+        events.run(
+            [&]
+            {
+                const ssize_t size =
+                    recv(accepted, bytes.data(), bytes.size(), MSG_DONTWAIT);
+                closed = closed || size == 0;
+                reset = reset || (size < 0 && errno == ECONNRESET);
+                return closed || reset;
+            });
+        BOOST_TEST(reset);
+        ::close(accepted);
+        ::close(listener);
+    }
+}
+
 // Guards against connection headers that are passed on.
 BOOST_AUTO_TEST_CASE(connection_headers_are_known)
 {
--- a/pistachiospan/http1/internal/socket.hpp
+++ b/pistachiospan/http1/internal/socket.hpp
@@ -30,6 +30,9 @@
 // Sends small writes at once and ends a connection whose peer has gone silent.
 void tune(int socket);
 
+// Closing the socket drops what has not arrived, instead of delivering it.
+void reset_on_close(int socket);
+
 // The bytes at hand in one piece, at most `most`.
 std::string_view peek(evbuffer* input, std::size_t most);
 
--- a/pistachiospan/http1/socket.cpp
+++ b/pistachiospan/http1/socket.cpp
@@ -38,6 +38,12 @@
                sizeof(unacknowledged_ms));
 }
 
+void reset_on_close(int socket)
+{
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
 std::string_view peek(evbuffer* input, std::size_t most)
 {
     evbuffer_iovec piece{};
