Keep the parts of VMs from their first overdue reports on, reckoned before the cut

A model of membership and ledger of nine VMs shows parts that sum to 1.3 to 1.7: growth is compared with the other side's old reports for 2.5 s; the part that a silent VM keeps is reckoned with demand that it never heard; parts kept one after the other reduce each other; after the cut brief reports leave out what changed meanwhile. The same model shows VMs that start together and each take the whole limit until the first reports. Ruled out: retries and the tokens' burst (the surge alone stays at 2191 of 2440). Change: a VM is overdue after 1.2 s; totals are noted with each report; a VM that returns keeps its part until its whole report, which is sent at once; VMs that are registered and not yet heard share the limits.

--- a/pistachiospan/allowance/allowance.hpp
+++ b/pistachiospan/allowance/allowance.hpp
@@ -3,9 +3,9 @@
 //
 // Example:
 //
-//     ledger allowances({.initial_part = 1.0 / 9});
+//     ledger allowances({});
 //     allowances.set_accounts(now, active.accounts());
-//     allowances.set_remote_demand(now, account, 40.0); // sum over the other VMs
+//     allowances.set_remote(now, account, {.demand = 40}); // sum over the other VMs
 //     const admission made = allowances.admit(now, account);
 //     if (!made.admitted)
 //         refuse(made.retry_after);
--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -34,8 +34,8 @@
 constexpr duration store_retry = std::chrono::milliseconds(700);
 // A VM that knows less than another one for this long reads the store itself.
 constexpr duration behind_limit = std::chrono::milliseconds(500);
-// Whom to follow is chosen again this often.
-constexpr duration source_interval = std::chrono::milliseconds(250);
+// Whom to follow, and who is overdue, is looked at this often.
+constexpr duration peer_check_interval = std::chrono::milliseconds(250);
 // Least time between two reads for a version that another VM has.
 constexpr duration hurry_interval = std::chrono::milliseconds(400);
 // One in this many reports is whole.
@@ -98,7 +98,7 @@
     void remove_upstream(const std::string& id);
 
     void tick();
-    void check_source();
+    void check_peers();
     void publish_changes();
     void send_report(time_point now);
     void receive_report(std::string_view datagram);
@@ -141,7 +141,7 @@
     internal::follower follow_operator;
     internal::follower follow_registry;
     periodic_timer ticker;
-    periodic_timer source_checker;
+    periodic_timer peer_checker;
     one_shot_timer vm_reader;
     one_shot_timer registrar;
     one_shot_timer exit_timer;
@@ -213,7 +213,7 @@
                       this->store, this->peers, this->registry,
                       this->make_follower_hooks("upstreams")),
       ticker(base, this->options.report_interval, [this] { this->tick(); }),
-      source_checker(base, source_interval, [this] { this->check_source(); }),
+      peer_checker(base, peer_check_interval, [this] { this->check_peers(); }),
       vm_reader(base, [this] { this->read_vms(); }),
       registrar(base, [this] { this->register_self(); }),
       exit_timer(base, [this] { this->finish_when_idle(); }), started(process_number())
@@ -448,12 +448,14 @@
     this->send_report(now);
 }
 
-void edge_daemon::implementation::check_source()
+void edge_daemon::implementation::check_peers()
 {
     const time_point now = monotonic_now();
     this->follow_operator.reconsider(now);
     this->follow_registry.reconsider(now);
     this->catch_up(now);
+    if (this->vms.reserve_overdue(now))
+        this->share_demand(now);
 }
 
 // Tells the VMs that follow this one what has changed since the last call.
@@ -489,6 +491,7 @@
                       .demand = this->allowances.report_demand(now, whole),
                       .services = this->known_upstreams.report_demand(now, whole)};
     this->vms.set_self(own);
+    this->vms.note_told(now);
     const std::vector<std::string> addresses = this->vms.peer_addresses();
     this->peers.send(fleet::encode(own), addresses);
     if (addresses.empty())
@@ -511,10 +514,10 @@
     // All VMs reckon with the same figures at the same time.
     for (const allowance::demand& change : seen.change)
         this->allowances.change_remote(now, change);
+    this->newcomer = this->newcomer || seen.appeared || seen.returned;
     if (seen.appeared)
     {
         this->log("vm_found", {{"peer", name}});
-        this->newcomer = true;
         this->apply_vm_count();
     }
     const configuration::state* active = this->requests.active();
@@ -596,7 +599,7 @@
         return;
     const std::map<std::string, allowance::remote_share> remote =
         this->vms.remote_shares(now);
-    this->allowances.set_vm_count(this->vms.live_count(now));
+    this->allowances.set_vm_count(this->vms.sharing_count(now));
     for (const configuration::account& each : active->accounts())
     {
         const auto found = remote.find(each.name);
@@ -623,9 +626,10 @@
             const bool good = all.has_value();
             if (good)
             {
-                for (const auto& [vm, address] : all.value())
-                    this->vms.add_address(vm, address);
+                const time_point now = monotonic_now();
+                this->vms.set_addresses(now, all.value());
                 this->apply_vm_count();
+                this->share_demand(now);
             }
             this->vm_reader.start(good ? read_vms_interval : register_retry);
         });
--- /dev/null
+++ b/pistachiospan/fleet/cut_test.cpp
@@ -0,0 +1,192 @@
+// Rates of client accounts while VMs lose sight of each other: membership and ledger of
+// every VM together, with reports that reach the VMs on the own side of a cut.
+
+#include "pistachiospan/fleet/fleet.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <memory>
+#include <utility>
+
+using namespace pistachiospan;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr double rate = 400;  // requests per second
+constexpr double burst = 200; // requests
+constexpr std::size_t vm_count = 9;
+constexpr std::size_t cut_count = 2; // VMs on the smaller side
+constexpr duration report_interval = 500ms;
+constexpr duration check_interval = 250ms;
+constexpr duration step = 1ms;
+
+const configuration::account shop{.name = "shop", .rate = rate, .burst = burst};
+
+// The platform's bound: a tenth more than the limit, and 20 requests.
+constexpr double overrun = 0.1;
+constexpr double slack = 20; // requests
+constexpr duration window = 5s;
+
+double bound()
+{
+    return (rate * std::chrono::duration<double>(window).count() + burst) *
+               (1 + overrun) +
+           slack;
+}
+
+struct vm
+{
+    explicit vm(std::size_t number, time_point now)
+        : name("vm-" + std::to_string(number)), members({.self = {this->name}})
+    {
+        this->ledger.set_accounts(now, std::span(&shop, 1), false);
+    }
+
+    void share(time_point now)
+    {
+        const auto remote = this->members.remote_shares(now);
+        const auto found = remote.find(shop.name);
+        this->ledger.set_vm_count(this->members.sharing_count(now));
+        this->ledger.set_remote(now, shop.name,
+                                found == remote.end() ? allowance::remote_share()
+                                                      : found->second);
+    }
+
+    fleet::report report(time_point now)
+    {
+        const bool whole = std::exchange(this->whole_needed, false);
+        fleet::report own{.brief = !whole && this->sequence % 6 != 0,
+                          .vm = {this->name},
+                          .started = 1,
+                          .sequence = ++this->sequence,
+                          .peer_address = this->name + ":1"};
+        own.demand = this->ledger.report_demand(now, !own.brief);
+        this->members.set_self(own);
+        this->members.note_told(now);
+        return own;
+    }
+
+    void receive(time_point now, const fleet::report& said)
+    {
+        const auto seen = this->members.observe(now, said);
+        for (const allowance::demand& each : seen.change)
+            this->ledger.change_remote(now, each);
+        this->whole_needed = this->whole_needed || seen.appeared || seen.returned;
+    }
+
+    std::string name;
+    fleet::membership members;
+    allowance::ledger ledger{{}};
+    std::uint64_t sequence = 0;
+    double due = 0;
+    bool whole_needed = true;
+};
+
+struct fleet_model
+{
+    fleet_model()
+    {
+        for (std::size_t each = 0; each < vm_count; ++each)
+            this->vms.push_back(std::make_unique<vm>(each, this->now));
+        std::map<vm_id, std::string> registered;
+        for (const auto& each : this->vms)
+            registered[{each->name}] = each->name + ":1";
+        for (const auto& each : this->vms)
+        {
+            each->members.set_addresses(this->now, registered);
+            each->share(this->now);
+        }
+    }
+
+    bool connected(std::size_t one, std::size_t other) const
+    {
+        return !this->cut || (one < cut_count) == (other < cut_count);
+    }
+
+    void tick(std::size_t at)
+    {
+        const auto passed = this->now.time_since_epoch() + step * (at * 53);
+        vm& self = *this->vms[at];
+        if (passed % check_interval == duration(0) &&
+            self.members.reserve_overdue(this->now))
+            self.share(this->now);
+        if (passed % report_interval != duration(0))
+            return;
+        self.share(this->now);
+        const fleet::report own = self.report(this->now);
+        for (std::size_t to = 0; to < vm_count; ++to)
+            if (to != at && this->connected(at, to))
+                this->vms[to]->receive(this->now, own);
+    }
+
+    // Runs for `span` with `per_second` requests over all VMs.
+    void run(duration span, double per_second)
+    {
+        for (const time_point end = this->now + span; this->now < end; this->now += step)
+            for (std::size_t at = 0; at < vm_count; ++at)
+            {
+                this->tick(at);
+                vm& self = *this->vms[at];
+                self.due +=
+                    per_second / vm_count * std::chrono::duration<double>(step).count();
+                for (; self.due >= 1; self.due -= 1)
+                    if (self.ledger.admit(this->now, shop.name).admitted)
+                        this->note_admission();
+            }
+    }
+
+    void note_admission()
+    {
+        this->recent.push_back(this->now);
+        while (this->recent.front() <= this->now - window)
+            this->recent.pop_front();
+        this->most = std::max(this->most, this->recent.size());
+    }
+
+    std::vector<std::unique_ptr<vm>> vms;
+    std::deque<time_point> recent;
+    std::size_t most = 0; // admissions in any window
+    bool cut = false;
+    time_point now = time_point(1000s);
+};
+
+} // namespace
+
+// Pattern: a data centre is cut off, and within the next seconds an account sends eight
+// times its usual. Guards against both sides growing at the cost of the other, whose
+// reports have stopped but are still believed (own day cut-zones: 2697 of 2614).
+BOOST_AUTO_TEST_CASE(surge_after_a_cut_keeps_the_bound)
+{
+    for (const duration delay : {duration(0), duration(500ms), duration(1s),
+                                 duration(1500ms), duration(2s), duration(3s)})
+    {
+        fleet_model all;
+        all.run(6s, rate * 0.6);
+        all.cut = true;
+        all.run(delay, rate * 0.6);
+        all.run(6s, rate * 0.6 * 8);
+        all.cut = false;
+        all.run(4s, rate * 0.6 * 8);
+        BOOST_TEST_CONTEXT("surge after " << delay.count() << " us")
+        BOOST_TEST(static_cast<double>(all.most) <= bound());
+    }
+}
+
+// Pattern: the same without a cut, and a cut without a surge.
+BOOST_AUTO_TEST_CASE(surge_or_cut_alone_keeps_the_bound)
+{
+    fleet_model surge;
+    surge.run(6s, rate * 0.6);
+    surge.run(6s, rate * 0.6 * 8);
+    BOOST_TEST(static_cast<double>(surge.most) <= bound());
+    fleet_model cut;
+    cut.run(6s, rate * 3);
+    cut.cut = true;
+    cut.run(6s, rate * 3);
+    cut.cut = false;
+    cut.run(6s, rate * 3);
+    BOOST_TEST(static_cast<double>(cut.most) <= bound());
+}
--- a/pistachiospan/fleet/fleet.cpp
+++ b/pistachiospan/fleet/fleet.cpp
@@ -18,6 +18,12 @@
 // Ages are told in milliseconds. Older than this is told as this.
 constexpr std::chrono::milliseconds oldest_told{60000};
 
+// Reports that tell a change of demand.
+constexpr std::uint64_t told_times = 3;
+
+// A VM notices that a report is overdue this much later, at most.
+constexpr duration totals_margin = std::chrono::seconds(1);
+
 // A brief report with all that the one before it said and it does not repeat.
 report complete(report brief, const report& before)
 {
@@ -133,10 +139,35 @@
     this->self = own.brief ? complete(std::move(own), this->self) : std::move(own);
 }
 
-void membership::add_address(const vm_id& vm, const std::string& peer_address)
+void membership::note_told(time_point now)
 {
-    if (vm != this->options.self)
-        this->addresses[vm] = peer_address;
+    told_total made{.at = now, .accounts = this->remote_shares(now)};
+    for (const allowance::demand& each : this->self.demand)
+        made.accounts[each.account].demand += each.rate;
+    this->totals.push_back(std::move(made));
+    while (now - this->totals.front().at > this->options.overdue_after + totals_margin)
+        this->totals.pop_front();
+}
+
+// The first total that takes in a report of this time; null if there is none yet.
+const membership::told_total* membership::total_after(time_point heard) const
+{
+    const auto found = std::ranges::find_if(this->totals, [heard](const told_total& each)
+                                            { return each.at > heard; });
+    return found == this->totals.end() ? nullptr : &*found;
+}
+
+void membership::set_addresses(time_point now,
+                               const std::map<vm_id, std::string>& registered)
+{
+    this->registered_known = true;
+    for (const auto& [vm, address] : registered)
+    {
+        if (vm == this->options.self)
+            continue;
+        const auto known = this->addresses.emplace(vm, known_address{.since = now}).first;
+        known->second.address = address;
+    }
 }
 
 bool membership::is_live(time_point now, const peer& of) const
@@ -156,18 +187,30 @@
             std::pair(known->second.said.started, known->second.said.sequence);
     if (older)
         return {};
-    if (said.brief)
+    const bool brief = said.brief;
+    if (brief)
     {
         if (known == this->peers.end() || known->second.said.started != said.started)
             return {};
         said = complete(std::move(said), known->second.said);
     }
     observation seen{.appeared = !this->was_live[name]};
-    if (!seen.appeared && known != this->peers.end())
+    seen.returned = known != this->peers.end() && known->second.overdue;
+    if (!seen.appeared && known != this->peers.end() && !seen.returned)
         seen.change = difference(known->second.said.demand, said.demand);
     this->was_live[name] = true;
-    this->addresses[name] = said.peer_address;
-    this->peers[name] = {.said = std::move(said), .heard = now};
+    this->addresses.emplace(name, known_address{.since = now}).first->second.address =
+        said.peer_address;
+    peer& kept = this->peers[name];
+    // Changes of demand are told several times, but some of them may have been missed.
+    const bool gap = brief && said.sequence - kept.said.sequence > told_times;
+    if (!seen.returned || !gap)
+    {
+        kept.overdue = false;
+        kept.reserved.clear();
+    }
+    kept.said = std::move(said);
+    kept.heard = now;
     return seen;
 }
 
@@ -183,42 +226,41 @@
     for (const auto& [name, each] : this->peers)
         if (this->was_live[name] && !this->is_live(now, each))
             silent.push_back(name);
-    if (!silent.empty())
-        this->reserve(now, silent);
     for (const vm_id& name : silent)
         this->was_live[name] = false;
     return silent;
 }
 
-void membership::reserve(time_point now, std::span<const vm_id> silent)
+bool membership::reserve_overdue(time_point now)
 {
-    std::map<std::string, double> total;
-    for (const allowance::demand& each : this->self.demand)
-        total[each.account] += each.rate;
-    for (const auto& [name, each] : this->peers)
-        if (this->was_live[name])
-            for (const allowance::demand& part : each.said.demand)
-                total[part.account] += part.rate;
-    const std::map<std::string, allowance::remote_share> before =
-        this->remote_shares(now);
-    for (const vm_id& name : silent)
+    bool any = false;
+    for (auto& [name, each] : this->peers)
     {
-        peer& of = this->peers.at(name);
-        for (const allowance::demand& part : of.said.demand)
+        if (each.overdue || now - each.heard <= this->options.overdue_after)
+            continue;
+        each.overdue = true;
+        any = true;
+        // What has been told since does not count: the other side has not heard it.
+        const told_total* total = this->total_after(each.heard);
+        if (total == nullptr)
+            continue;
+        for (const allowance::demand& told : each.said.demand)
         {
-            const auto known = before.find(part.account);
-            const double free = known == before.end() ? 1 : 1 - known->second.reserved;
-            if (total[part.account] > 0)
-                of.reserved[part.account] = free * part.rate / total[part.account];
+            const auto known = total->accounts.find(told.account);
+            if (known == total->accounts.end() || known->second.demand <= 0)
+                continue;
+            const double part = std::min(1.0, told.rate / known->second.demand);
+            each.reserved[told.account] = (1 - known->second.reserved) * part;
         }
     }
+    return any;
 }
 
 std::vector<std::string> membership::peer_addresses() const
 {
     std::vector<std::string> all;
-    for (const auto& [name, address] : this->addresses)
-        all.push_back(address);
+    for (const auto& [name, each] : this->addresses)
+        all.push_back(each.address);
     return all;
 }
 
@@ -229,6 +271,20 @@
     return static_cast<std::size_t>(live) + 1;
 }
 
+std::size_t membership::sharing_count(time_point now) const
+{
+    const auto shares = [this, now](const auto& each)
+    {
+        const auto known = this->peers.find(each.first);
+        if (known != this->peers.end())
+            return !known->second.overdue;
+        return now - each.second.since <= this->options.live_for;
+    };
+    const auto others = std::ranges::count_if(this->addresses, shares);
+    const auto all = static_cast<std::size_t>(others) + 1;
+    return this->registered_known ? all : std::max(all, this->options.assumed_count);
+}
+
 const peer* membership::reader(time_point now, duration own_store_age) const
 {
     const bool own_fresh = own_store_age <= this->options.fresh_for;
@@ -283,10 +339,9 @@
     std::map<std::string, allowance::remote_share> shares;
     for (const auto& [name, each] : this->peers)
     {
-        const bool live = this->is_live(now, each);
-        const bool reserved = !live && !each.said.draining &&
+        const bool reserved = each.overdue && !each.said.draining &&
                               now - each.heard <= this->options.reserved_for;
-        if (live)
+        if (!each.overdue)
             for (const allowance::demand& part : each.said.demand)
                 shares[part.account].demand += part.rate;
         if (reserved)
--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -19,6 +19,7 @@
 #include "pistachiospan/base/base.hpp"
 #include "pistachiospan/upstreams/upstreams.hpp"
 
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -63,18 +64,24 @@
     // 2 s after they were made. More than the time of one read that waits for a change,
     // and one report.
     duration fresh_for = std::chrono::milliseconds(1500);
-    // A silent VM may be cut off and still take requests, so its parts of the allowances
-    // stay reserved this long. One that said that it stops does not keep them.
+    // A VM whose reports are overdue may be cut off and still take requests. From then on
+    // it keeps the parts of the allowances that it had, and the others share the rest: on
+    // both sides of a cut, demand that grows must not take what the other side uses. Two
+    // lost reports, not one.
+    duration overdue_after = std::chrono::milliseconds(1200);
+    // For this long. One that said that it stops does not keep them.
     duration reserved_for = std::chrono::seconds(120);
     std::size_t most_addresses = 64; // in one directory answer
+    // VMs that share the allowances, until it is known which ones there are.
+    std::size_t assumed_count = 8;
 };
 
 struct peer
 {
     report said;
     time_point heard;
-    // Parts of the accounts' limits that it had when it fell silent. Empty while it is
-    // live.
+    bool overdue = false; // its reports are
+    // Parts of the accounts' limits that it had when its reports became overdue.
     std::map<std::string, double> reserved;
 };
 
@@ -85,31 +92,41 @@
 
     // Own state, for the directory.
     void set_self(report own);
+    // To be called when the own report is sent: notes what all VMs have told by now.
+    void note_told(time_point now);
     const report& own() const
     {
         return this->self;
     }
 
-    // Addresses of VMs that may not have reported yet (from the store's rows).
-    void add_address(const vm_id& vm, const std::string& peer_address);
+    // Peer addresses of all VMs that have registered with the store.
+    void set_addresses(time_point now, const std::map<vm_id, std::string>& registered);
 
     struct observation
     {
         bool appeared = false; // the VM was not live before
+        // Its reports were overdue, so it may not have heard this VM either.
+        bool returned = false;
         // What its demand has changed by, if it was live before.
         std::vector<allowance::demand> change;
     };
 
     // Older reports are ignored, and brief ones of VMs without a whole one.
     observation observe(time_point now, report said);
-    // VMs that fell silent since the last call. Each keeps its share of the demand that
-    // was told: the other side of a cut reckons with the same figures.
+    // VMs that fell silent since the last call.
     std::vector<vm_id> expire(time_point now);
+    // Lets VMs whose reports have become overdue keep their share of the demand that was
+    // told: the other side of a cut reckons with the same figures. Returns true if there
+    // are any.
+    bool reserve_overdue(time_point now);
 
     // Where to send the own report.
     std::vector<std::string> peer_addresses() const;
     // VMs that are heard, this one included.
     std::size_t live_count(time_point now) const;
+    // VMs that share the allowances, this one included. Those that have registered and
+    // are not heard yet count for a while: all may be starting at the same moment.
+    std::size_t sharing_count(time_point now) const;
     // VMs that take requests or may do so, this one included.
     std::size_t known_count() const;
     // Who reads the store for this VM's region: the first by name of those whose last
@@ -132,16 +149,30 @@
                                            std::string_view data_centre) const;
 
 private:
+    // What all VMs together had told at a time, by client account.
+    struct told_total
+    {
+        time_point at;
+        std::map<std::string, allowance::remote_share> accounts;
+    };
+
+    const told_total* total_after(time_point heard) const;
     bool is_live(time_point now, const peer& of) const;
     bool is_reader(time_point now, const peer& of) const;
-    void reserve(time_point now, std::span<const vm_id> silent);
     std::string region_of(const std::string& data_centre) const;
 
     membership_options options;
     report self;
     std::map<vm_id, peer> peers;
-    std::map<vm_id, std::string> addresses;
+    struct known_address
+    {
+        std::string address;
+        time_point since;
+    };
+    std::map<vm_id, known_address> addresses;
+    bool registered_known = false;
     std::map<vm_id, bool> was_live;
+    std::deque<told_total> totals; // of the time in which reports become overdue
 };
 
 } // namespace pistachiospan::fleet
--- a/pistachiospan/fleet/fleet_test.cpp
+++ b/pistachiospan/fleet/fleet_test.cpp
@@ -31,6 +31,7 @@
          .data_centre = data_centre,
          .regions = {{"n1", "north"}, {"n2", "north"}, {"s1", "south"}}});
     vms.set_self(report_of("vm-0", data_centre));
+    vms.note_told(start);
     return vms;
 }
 
@@ -81,20 +82,68 @@
 {
     fleet::membership vms = make("n1");
     vms.observe(start, report_of("a", "n1"));
-    vms.observe(start + 1s, report_of("b", "n1"));
-    vms.observe(start + 1s, report_of("c", "n1"));
-    BOOST_TEST(vms.remote_shares(start + 1s).at("shop").demand == 30);
-    // They fall silent one after the other: each keeps a quarter.
-    vms.expire(start + 3s);
-    BOOST_TEST(vms.remote_shares(start + 3s).at("shop").reserved == 0.25);
-    BOOST_TEST(vms.remote_shares(start + 3s).at("shop").demand == 20);
-    vms.expire(start + 5s);
-    BOOST_TEST(vms.remote_shares(start + 5s).at("shop").reserved == 0.75);
+    vms.observe(start, report_of("b", "n1"));
+    vms.observe(start, report_of("c", "n1"));
+    vms.set_self(report_of("vm-0", "n1"));
+    vms.note_told(start + 1ms);
+    BOOST_TEST(vms.remote_shares(start).at("shop").demand == 30);
+    vms.observe(start + 1s, report_of("b", "n1", 2));
+    vms.observe(start + 1s, report_of("c", "n1", 2));
+    // What this VM tells meanwhile is not heard by those that are cut off.
+    fleet::report grown = report_of("vm-0", "n1", 2);
+    grown.demand.front().rate = 90;
+    vms.set_self(grown);
+    vms.note_told(start + 1100ms);
+    // They fall silent one after the other.
+    BOOST_TEST(!vms.reserve_overdue(start + 1s));
+    BOOST_TEST(vms.reserve_overdue(start + 1300ms));
+    BOOST_TEST(vms.remote_shares(start + 1300ms).at("shop").reserved == 0.25);
+    BOOST_TEST(vms.remote_shares(start + 1300ms).at("shop").demand == 20);
+    vms.set_self(grown);
+    vms.note_told(start + 1500ms);
+    vms.reserve_overdue(start + 5s);
+    const double later = 2 * 10.0 / (10 + 10 + 10 + 90);
+    BOOST_TEST(vms.remote_shares(start + 5s).at("shop").reserved == 0.25 + later,
+               boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(vms.remote_shares(start + 5s).at("shop").demand == 0);
     fleet::report last = report_of("a", "n1", 2);
     last.draining = true;
     vms.observe(start + 5s, last);
-    vms.expire(start + 9s);
-    BOOST_TEST(vms.remote_shares(start + 9s).at("shop").reserved == 0.5);
+    vms.reserve_overdue(start + 9s);
+    BOOST_TEST(vms.remote_shares(start + 9s).at("shop").reserved == later,
+               boost::test_tools::tolerance(1e-9));
+}
+
+// Guards against VMs that start at the same moment and each take the whole limit until
+// they hear of the others.
+BOOST_AUTO_TEST_CASE(registered_vms_share_before_they_are_heard)
+{
+    fleet::membership vms = make("n1");
+    BOOST_TEST(vms.sharing_count(start) >= 8U);
+    vms.set_addresses(start, {{{"vm-0"}, "0:1"}, {{"a"}, "a:1"}, {{"b"}, "b:1"}});
+    BOOST_TEST(vms.sharing_count(start) == 3U);
+    vms.observe(start + 1s, report_of("a", "n1"));
+    BOOST_TEST(vms.sharing_count(start + 1s) == 3U);
+    BOOST_TEST(vms.sharing_count(start + 3s) == 2U); // b has stopped long ago
+}
+
+// Guards against parts reckoned with old demand after a cut: brief reports do not repeat
+// what has changed meanwhile.
+BOOST_AUTO_TEST_CASE(part_stays_until_a_whole_report)
+{
+    fleet::membership vms = make("n1");
+    vms.observe(start, report_of("a", "n1"));
+    vms.set_self(report_of("vm-0", "n1"));
+    vms.note_told(start + 1ms);
+    vms.reserve_overdue(start + 2s);
+    fleet::report brief = report_of("a", "n1", 9);
+    brief.brief = true;
+    brief.demand.clear();
+    BOOST_TEST(vms.observe(start + 4s, brief).returned);
+    BOOST_TEST(vms.remote_shares(start + 4s).at("shop").reserved == 0.5);
+    vms.observe(start + 5s, report_of("a", "n1", 10));
+    BOOST_TEST(vms.remote_shares(start + 5s).at("shop").reserved == 0);
+    BOOST_TEST(vms.remote_shares(start + 5s).at("shop").demand == 10);
 }
 
 // Guards against demand that differs between the running sums and the whole.
