--- /dev/null
+++ b/pistachiospan/daemon/caller_listener_test.cpp
@@ -0,0 +1,140 @@
+#include "pistachiospan/daemon/internal/caller_listener.hpp"
+
+#include <arpa/inet.h>
+#include <boost/test/unit_test.hpp>
+#include <event2/event.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <csignal>
+
+using namespace pistachiospan;
+using namespace pistachiospan::daemon::internal;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint16_t port = 18937;
+
+// A caller that sends a byte now and then.
+struct slow_caller
+{
+    slow_caller() : socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        sockaddr_in to{.sin_family = AF_INET, .sin_port = htons(port)};
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        BOOST_TEST_REQUIRE(
+            connect(this->socket, reinterpret_cast<sockaddr*>(&to), sizeof(to)) == 0);
+    }
+    ~slow_caller()
+    {
+        ::close(this->socket);
+    }
+    slow_caller(const slow_caller&) = delete;
+    slow_caller& operator=(const slow_caller&) = delete;
+
+    void send(std::string_view text) const
+    {
+        ::send(this->socket, text.data(), text.size(), MSG_NOSIGNAL);
+    }
+    // The listener has ended the connection.
+    bool ended() const
+    {
+        char byte = 0;
+        const ssize_t size = recv(this->socket, &byte, 1, MSG_DONTWAIT);
+        return size == 0 || (size < 0 && errno != EAGAIN);
+    }
+
+    int socket;
+};
+
+struct world
+{
+    world()
+        : base(event_base_new(), &event_base_free),
+          listener(this->base.get(),
+                   {.address = "127.0.0.1:" + std::to_string(port),
+                    .idle_timeout = 10s,
+                    .header_timeout = 500ms},
+                   {.on_request = [](entry::caller_request, const entry::answer_handler&)
+                    { return entry::exchange_id(1); },
+                    .on_caller_gone = [](entry::exchange_id) {},
+                    .on_reserved = [](std::string_view, std::string_view,
+                                      std::string_view) -> std::optional<plain_answer>
+                    {
+                        return plain_answer{};
+                    }})
+    {
+    }
+
+    // Sends `piece` each 100 ms for this long, or until the connection ends.
+    void trickle(const slow_caller& from, std::string_view piece, duration span)
+    {
+        const time_point end = event_loop::monotonic_now() + span;
+        while (event_loop::monotonic_now() < end && !from.ended())
+        {
+            event_loop::one_shot_timer wake(this->base.get(), [this]
+                                            { event_base_loopbreak(this->base.get()); });
+            wake.start(100ms);
+            event_base_dispatch(this->base.get());
+            from.send(piece);
+        }
+    }
+
+    std::unique_ptr<event_base, decltype(&event_base_free)> base;
+    caller_listener listener;
+};
+
+} // namespace
+
+// Guards against callers that hold a connection with a header that never ends: the
+// setting had no effect.
+BOOST_AUTO_TEST_CASE(header_that_does_not_end_is_cut_off)
+{
+    world all;
+    slow_caller from;
+    from.send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n");
+    all.trickle(from, "X-A: b\r\n", 3s);
+    BOOST_TEST(from.ended());
+}
+
+// Guards against a slow upload that is taken for a slow header.
+BOOST_AUTO_TEST_CASE(slow_body_is_not_a_late_header)
+{
+    world all;
+    slow_caller from;
+    from.send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n");
+    all.trickle(from, "b", 3s);
+    BOOST_TEST(!from.ended());
+}
+
+// Guards against connections that end before their first request and count for ever,
+// until the listener accepts no more: the sweep was never started. And against a sweep
+// that touches a connection that is gone.
+BOOST_AUTO_TEST_CASE(connections_without_a_request_are_forgotten)
+{
+    world all;
+    for (const std::string_view sent : {"", "GET / HTTP/1.1\r\nHost:"})
+    {
+        slow_caller from;
+        from.send(sent);
+        all.trickle(from, "", 200ms);
+        BOOST_TEST(all.listener.connections() > 0U);
+    }
+    slow_caller other;
+    all.trickle(other, "", 2s);
+    BOOST_TEST(all.listener.connections() == 1U);
+}
+
+// Guards against a header whose end is missed because it comes in pieces.
+BOOST_AUTO_TEST_CASE(end_of_header_is_found_in_pieces)
+{
+    header_scan scan;
+    for (const char each : std::string_view("\r\nGET / HTTP/1.1\r\nHost: a\r\n\r"))
+        scan.feed(std::string_view(&each, 1));
+    BOOST_TEST(!scan.ended());
+    scan.feed("\n");
+    BOOST_TEST(scan.ended());
+}
--- a/pistachiospan/daemon/daemon.cpp
+++ b/pistachiospan/daemon/daemon.cpp
@@ -156,7 +156,8 @@
               {.address = settings.callers,
                .max_header = settings.max_header,
                .max_connections = settings.max_connections,
-               .idle_timeout = settings.idle_timeout},
+               .idle_timeout = settings.idle_timeout,
+               .header_timeout = settings.header_timeout},
               this->make_listener_hooks()),
       ticker(base, entry::tick_interval, [this] { this->tick(); })
 {
--- a/pistachiospan/daemon/internal/caller_listener.cpp
+++ b/pistachiospan/daemon/internal/caller_listener.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr duration sweep_interval = std::chrono::seconds(5);
+constexpr duration sweep_interval = std::chrono::seconds(1);
 
 constexpr std::string_view reserved_prefix = "/.well-known/pistachiospan/";
 
@@ -88,6 +88,16 @@
     }
 }
 
+// The last `count` bytes of a buffer.
+std::string newest_bytes(evbuffer* input, std::size_t count)
+{
+    std::string bytes(count, '\0');
+    evbuffer_ptr from{};
+    evbuffer_ptr_set(input, &from, evbuffer_get_length(input) - count, EVBUFFER_PTR_SET);
+    evbuffer_copyout_from(input, &from, bytes.data(), count);
+    return bytes;
+}
+
 std::string take_body(evhttp_request* call)
 {
     evbuffer* input = evhttp_request_get_input_buffer(call);
@@ -142,6 +152,25 @@
 
 } // namespace
 
+void transport_release::operator()(bufferevent* referred) const
+{
+    bufferevent_decref(referred);
+}
+
+void header_scan::feed(std::string_view piece)
+{
+    for (const char each : piece)
+    {
+        if (each == '\n')
+        {
+            this->found = this->found || this->line_is_empty;
+            this->line_is_empty = true;
+        }
+        else if (each != '\r')
+            this->line_is_empty = false;
+    }
+}
+
 caller_listener::caller_listener(event_base* base, caller_listener_options options,
                                  caller_listener_hooks hooks)
     : base(base), options(std::move(options)), hooks(std::move(hooks))
@@ -178,6 +207,7 @@
         [](evhttp_request* call, void* user)
         { static_cast<caller_listener*>(user)->serve(call); },
         this);
+    this->sweeper.emplace(base, sweep_interval, [this] { this->sweep(); });
 }
 
 caller_listener::~caller_listener()
@@ -195,8 +225,8 @@
     bufferevent* transport = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     auto made = std::make_unique<line>();
     made->owner = self;
-    made->transport = transport;
-    made->last_input = std::chrono::steady_clock::now();
+    bufferevent_incref(transport);
+    made->transport.reset(transport);
     evbuffer_add_cb(bufferevent_get_input(transport), &caller_listener::on_input,
                     made.get());
     self->lines[transport] = std::move(made);
@@ -206,28 +236,42 @@
 
 // Ends the connection of a sender that delivers a byte now and then, which evhttp's own
 // timeout allows for ever. evhttp closes the connection when it sees the end of input.
-void caller_listener::on_input(evbuffer*, const evbuffer_cb_info* info, void* user)
+void caller_listener::on_input(evbuffer* input, const evbuffer_cb_info* info, void* user)
 {
     if (info->n_added == 0)
         return;
     auto* from = static_cast<line*>(user);
     const steady_time now = std::chrono::steady_clock::now();
-    from->last_input = now;
     if (!from->request_began)
         from->request_began = now;
+    if (!from->header.ended())
+        from->header.feed(newest_bytes(input, info->n_added));
     if (now - *from->request_began > from->owner->options.request_timeout)
-        shutdown(bufferevent_getfd(from->transport), SHUT_RDWR);
+        shutdown(bufferevent_getfd(from->transport.get()), SHUT_RDWR);
+}
+
+bool caller_listener::header_is_late(const line& of, steady_time now) const
+{
+    return of.request_began && !of.header.ended() &&
+           now - *of.request_began > this->options.header_timeout;
 }
 
-// Forgets connections that ended before their first request: evhttp does not report
-// these, but it has closed every connection that was silent for the idle timeout.
+bool caller_listener::is_released(const line& of)
+{
+    bufferevent_event_cb on_event = nullptr;
+    bufferevent_getcb(of.transport.get(), nullptr, nullptr, &on_event, nullptr);
+    return on_event == nullptr;
+}
+
+// Ends connections whose header is late and forgets those that evhttp has ended.
 void caller_listener::sweep()
 {
-    const steady_time limit =
-        std::chrono::steady_clock::now() - 2 * this->options.idle_timeout;
-    std::erase_if(
-        this->lines, [limit](const auto& entry)
-        { return entry.second->http == nullptr && entry.second->last_input < limit; });
+    std::erase_if(this->lines,
+                  [](const auto& entry) { return is_released(*entry.second); });
+    const steady_time now = std::chrono::steady_clock::now();
+    for (const auto& [transport, each] : this->lines)
+        if (this->header_is_late(*each, now))
+            shutdown(bufferevent_getfd(transport), SHUT_RDWR);
     this->limit_accepts();
 }
 
@@ -260,7 +304,7 @@
 void caller_listener::remove(const line& ended)
 {
     const entry::exchange_id running = ended.running;
-    bufferevent* transport = ended.transport;
+    bufferevent* transport = ended.transport.get();
     evbuffer_remove_cb(bufferevent_get_input(transport), &caller_listener::on_input,
                        const_cast<line*>(&ended));
     this->lines.erase(transport);
@@ -274,7 +318,9 @@
     const evhttp_uri* uri = evhttp_request_get_evhttp_uri(call);
     const char* path = evhttp_uri_get_path(uri);
     const char* query = evhttp_uri_get_query(uri);
-    this->line_of(call).request_began.reset();
+    line& from = this->line_of(call);
+    from.request_began.reset();
+    from.header = {};
     if (path == nullptr)
         return send(call, HTTP_BADREQUEST, "");
     const bool takes_body = std::string_view(path).starts_with(reserved_prefix);
@@ -294,7 +340,7 @@
     line& from = this->line_of(call);
     const std::uint64_t serial = this->next_serial++;
     from.serial = serial;
-    bufferevent* transport = from.transport;
+    bufferevent* transport = from.transport.get();
     const entry::exchange_id id = this->hooks.on_request(
         copy_request(call),
         [this, call, transport, serial](const entry::answer& made)
--- a/pistachiospan/daemon/internal/caller_listener.hpp
+++ b/pistachiospan/daemon/internal/caller_listener.hpp
@@ -28,6 +28,7 @@
     std::size_t max_body = std::size_t{8} << 20U;
     std::size_t max_connections = 10000;
     duration idle_timeout = std::chrono::seconds(60);    // without a byte
+    duration header_timeout = std::chrono::seconds(5);   // first byte to end of header
     duration request_timeout = std::chrono::seconds(60); // first to last byte
 };
 
@@ -51,6 +52,27 @@
         on_reserved;
 };
 
+struct transport_release
+{
+    void operator()(bufferevent* referred) const;
+};
+using transport_ptr = std::unique_ptr<bufferevent, transport_release>;
+
+// Finds the end of a header, the first empty line, in pieces of a request.
+class header_scan
+{
+public:
+    void feed(std::string_view piece);
+    bool ended() const
+    {
+        return this->found;
+    }
+
+private:
+    bool found = false;
+    bool line_is_empty = false; // nothing but CR since the last LF; false at the start
+};
+
 class caller_listener
 {
 public:
@@ -77,16 +99,21 @@
     struct line
     {
         caller_listener* owner = nullptr;
-        bufferevent* transport = nullptr;
+        // A reference of our own: evhttp does not say when it ends a connection that has
+        // had no request.
+        transport_ptr transport;
         evhttp_connection* http = nullptr;
         entry::exchange_id running = 0;
-        std::uint64_t serial = 0; // of the request being served; 0: none
-        steady_time last_input;
+        std::uint64_t serial = 0;                 // of the request being served; 0: none
         std::optional<steady_time> request_began; // first byte of the request being read
+        header_scan header;                       // of that request
     };
 
+    // evhttp has ended the connection.
+    static bool is_released(const line& of);
     static bufferevent* make_transport(event_base* base, void* user);
     static void on_input(evbuffer* input, const evbuffer_cb_info* info, void* user);
+    bool header_is_late(const line& of, steady_time now) const;
     void sweep();
     void limit_accepts();
     void serve(evhttp_request* call);
