Let confirm_within of the catalogue take effect

Cause: it was read and checked, and every VM used 5 s. Change: the version in force sets it in the replica.

--- a/pistachiospan/config/config.hpp
+++ b/pistachiospan/config/config.hpp
@@ -120,7 +120,7 @@
     // Polls without a confirmation start after this time plus up to poll_jitter.
     duration poll_after = std::chrono::seconds(3);
     duration poll_jitter = std::chrono::seconds(1);
-    duration confirm_within = std::chrono::seconds(5);
+    duration confirm_within = std::chrono::seconds(5); // until a version is in force
     duration activate_after = std::chrono::seconds(2);
     std::size_t part_size = std::size_t{128} * 1024;
     std::size_t max_text = std::size_t{64} * 1024 * 1024;
@@ -191,6 +191,12 @@
     result<void> offer(time_point now, catalogue_version version, std::string_view digest,
                        std::string_view text);
 
+    // Time for which a confirmation by the store holds; the version in force says it.
+    void set_confirm_within(duration next)
+    {
+        this->settings.confirm_within = next;
+    }
+
     // Whether a request on a keyed route may run. Open routes do not ask.
     admission may_serve(time_point now, catalogue::unconfirmed_policy policy) const;
 
--- a/pistachiospan/entry/node.cpp
+++ b/pistachiospan/entry/node.cpp
@@ -260,6 +260,7 @@
     const time_point now = this->present;
     this->limits_settled = false;
     this->held_since.reset();
+    this->replica.set_confirm_within(this->active->confirm_within);
     this->limiter.set_accounts(now, *this->active);
     this->router.set_catalogue(now, *this->active);
     this->requests.set_catalogue(now, this->active);
--- a/pistachiospan/entry/node_test.cpp
+++ b/pistachiospan/entry/node_test.cpp
@@ -322,6 +322,25 @@
     BOOST_TEST(calls.size() == 2U);
 }
 
+// Guards against a catalogue whose confirm_within is read and has no effect.
+BOOST_FIXTURE_TEST_CASE(catalogue_says_how_long_a_confirmation_holds, fixture)
+{
+    std::string text = catalogue_text(key_line(key));
+    const std::string usual = "confirm_within = 5 s";
+    text.replace(text.find(usual), usual.size(), "confirm_within = 30 s");
+    const auto head = platform.data.get(std::string(config::head_key));
+    write_version(2, text, head->rev);
+    run(std::chrono::seconds(5));
+    platform.service.refuse = true;
+    run(std::chrono::seconds(20));
+    send({.method = "GET", .target = "/orders/1", .key = key});
+    BOOST_TEST(calls.size() == 1U);
+    run(std::chrono::seconds(12));
+    const auto stale = send({.method = "GET", .target = "/orders/2", .key = key});
+    BOOST_REQUIRE(stale->has_value());
+    BOOST_TEST(((*stale)->refused.code == refusal_code::stale_configuration));
+}
+
 // Guards against upstreams that go on with work nobody waits for.
 BOOST_FIXTURE_TEST_CASE(a_caller_that_leaves_cancels_reads_and_not_orders, fixture)
 {
