--- a/pistachiospan/daemon/caller_listener_test.cpp
+++ b/pistachiospan/daemon/caller_listener_test.cpp
@@ -58,7 +58,8 @@
                    {.address = "127.0.0.1:" + std::to_string(port),
                     .idle_timeout = 10s,
                     .header_timeout = 500ms},
-                   {.on_request = [](entry::caller_request, const entry::answer_handler&)
+                   {.on_request =
+                        [](const entry::caller_request&, const entry::answer_handler&)
                     { return entry::exchange_id(1); },
                     .on_caller_gone = [](entry::exchange_id) {},
                     .on_reserved = [](std::string_view, std::string_view,
