--- a/pistachiospan/allowance/allowance.cpp
+++ b/pistachiospan/allowance/allowance.cpp
@@ -128,8 +128,9 @@
         return {.admitted = true};
     }
     // A VM whose part is nothing waits for the others to be heard again.
-    const double rate = std::max(of.rate * this->part(of), least_reported);
-    return {.retry_after = from_seconds((1 - of.tokens) / rate)};
+    const double own = this->part(of);
+    const double rate = std::max(of.rate * own, least_reported);
+    return {.retry_after = from_seconds((1 - of.tokens) / rate), .part = own};
 }
 
 void ledger::give_back(time_point now, std::string_view account)
--- a/pistachiospan/allowance/allowance.hpp
+++ b/pistachiospan/allowance/allowance.hpp
@@ -45,6 +45,7 @@
 {
     bool admitted = false;
     duration retry_after{0}; // not admitted: when a token is expected
+    double part = 1;         // this VM's, of the account's limit
 };
 
 // One account's demand, as VMs tell each other.
--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -305,6 +305,8 @@
                {"elapsed_ms", milliseconds_of(made.elapsed)},
                {"left_ms", milliseconds_of(made.time_left)},
                {"expected_ms", milliseconds_of(made.expected)},
+               {"wait_ms", milliseconds_of(made.wait)},
+               {"objective_ms", milliseconds_of(made.objective)},
                {"load", made.load},
                {"store_position", this->tables.copy(table::upstreams).position()},
                {"detail", made.detail}});
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -1,6 +1,8 @@
 #include "pistachiospan/gateway/gateway.hpp"
 
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
 
 namespace pistachiospan::gateway
 {
@@ -31,6 +33,15 @@
     return upstreams::ending::broken;
 }
 
+std::string describe(const allowance::admission& refused,
+                     const configuration::account& of)
+{
+    std::ostringstream text;
+    text << std::fixed << "this VM's part is " << std::setprecision(3) << refused.part
+         << " of " << std::setprecision(1) << of.rate << "/s";
+    return text.str();
+}
+
 refusal refusal_of(upstreams::selection_failure failure)
 {
     switch (failure)
@@ -159,11 +170,12 @@
         return true;
     const allowance::admission token =
         this->parts.allowances.admit(now, made.account->name);
-    if (!token.admitted)
-        this->refuse(
-            now, exchange, made,
-            {.reason = refusal::over_allowance, .retry_after = token.retry_after});
-    return token.admitted;
+    if (token.admitted)
+        return true;
+    this->refuse(now, exchange, made,
+                 {.reason = refusal::over_allowance, .retry_after = token.retry_after},
+                 describe(token, *made.account));
+    return false;
 }
 
 double gateway::part_for(const pending& of) const
@@ -362,6 +374,7 @@
          .elapsed = now - of.begun,
          .time_left = of.deadline - now,
          .expected = of.chosen.expected,
+         .wait = of.chosen.wait,
          .load = of.chosen.load,
          .objective = of.route == nullptr ? duration(0) : of.route->latency_objective,
          .detail = std::string(detail)});
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -114,8 +114,10 @@
     std::uint64_t version = 0; // of the configuration that decided
     duration elapsed{0};
     duration time_left{0};
-    duration expected{0}; // completion, when the upstream was chosen
-    double load = 0;      // believed, when the upstream was chosen
+    // Believed when the upstream was chosen, or of the best one when none was.
+    duration expected{0}; // completion
+    duration wait{0};     // part of it: for a slot
+    double load = 0;      // requests at the upstream
     duration objective{0};
     std::string detail;
 };
--- a/pistachiospan/gateway/gateway_test.cpp
+++ b/pistachiospan/gateway/gateway_test.cpp
@@ -17,22 +17,25 @@
 {
     world()
         : known({.data_centre = "n1"}, {{"n1", "north"}}), allowances({}),
-          requests({}, {this->known, this->allowances},
-                   {.send =
-                        [this](const gateway::attempt& to)
-                    {
-                        this->sent.push_back(to);
-                        return static_cast<gateway::call_id>(this->sent.size());
-                    },
-                    .cancel = [this](gateway::call_id call)
-                    { this->cancelled.push_back(call); },
-                    .deliver = [this](gateway::exchange_id, const std::any& answer)
-                    { this->delivered.push_back(std::any_cast<int>(answer)); },
-                    .refuse =
-                        [this](gateway::exchange_id, const gateway::refusal_answer& why)
-                    {
-                        this->refused.push_back(why);
-                    }})
+          requests(
+              {}, {this->known, this->allowances},
+              {.send =
+                   [this](const gateway::attempt& to)
+               {
+                   this->sent.push_back(to);
+                   return static_cast<gateway::call_id>(this->sent.size());
+               },
+               .cancel = [this](gateway::call_id call)
+               { this->cancelled.push_back(call); },
+               .deliver = [this](gateway::exchange_id, const std::any& answer)
+               { this->delivered.push_back(std::any_cast<int>(answer)); },
+               .refuse = [this](gateway::exchange_id, const gateway::refusal_answer& why)
+               { this->refused.push_back(why); },
+               .report =
+                   [this](const gateway::record& made)
+               {
+                   this->records.push_back(made);
+               }})
     {
         for (const char* id : {"u1", "u2"})
             this->known.update(start, {.id = id,
@@ -87,6 +90,7 @@
     std::vector<gateway::call_id> cancelled;
     std::vector<int> delivered;
     std::vector<gateway::refusal_answer> refused;
+    std::vector<gateway::record> records;
     upstreams::upstream_set known;
     allowance::ledger allowances;
     gateway::gateway requests;
@@ -225,6 +229,23 @@
     BOOST_TEST(all.sent.size() == 3U);
 }
 
+// Guards against refusals that a log line can't explain: on a hunted day of rota-louche
+// it showed no load for a request that was refused for want of a slot.
+BOOST_AUTO_TEST_CASE(refusals_are_recorded_with_what_decided)
+{
+    world all;
+    all.ask(1, "/order/1", "small");
+    all.ask(2, "/order/1", "small");
+    BOOST_TEST((all.records.back().reason == refusal::over_allowance));
+    BOOST_TEST(all.records.back().detail == "this VM's part is 1.000 of 1.0/s");
+    gateway::exchange_id next = 3;
+    while (all.records.back().reason != refusal::too_late && next < 200)
+        all.ask(next++, "/order/1");
+    BOOST_TEST((all.records.back().reason == refusal::too_late));
+    BOOST_TEST(all.records.back().load > 3);
+    BOOST_TEST(all.records.back().wait.count() > 0);
+}
+
 // Guards against work for a caller that has left, and against an order cut off midway.
 BOOST_AUTO_TEST_CASE(caller_that_left_stops_only_what_may_be_repeated)
 {
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -541,6 +541,8 @@
     const duration expected = to_duration(best->expected);
     if (best->expected < penalty && expected > wanted.time_left)
         return {.expected = expected,
+                .wait = to_duration(best->wait),
+                .load = this->load_of(now, *best->at),
                 .failure = selection_failure::too_late,
                 .retry_after = std::max(expected - wanted.time_left, least_retry)};
     // A request that waits only to be late takes the slot from one that would be on time.
@@ -548,6 +550,8 @@
     const duration hoped = to_duration(best->hoped);
     if (waits && wanted.objective > duration(0) && hoped > wanted.objective)
         return {.expected = expected,
+                .wait = to_duration(best->wait),
+                .load = this->load_of(now, *best->at),
                 .failure = selection_failure::no_room,
                 .retry_after = std::max(hoped - wanted.objective, least_retry)};
     this->take_cold_token(now, *best->at, group);
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -144,7 +144,8 @@
     duration expected{0}; // completion, from now
     duration wait{0};     // part of it: for a slot
     duration path{0};     // part of it: on the way
-    double load = 0;      // requests believed to be at the upstream
+    // Requests believed to be at the upstream; not found: at the best one.
+    double load = 0;
     std::uint64_t object = 0;
     bool knows_object = false;
     selection_failure failure = selection_failure::none;
