Close the connection idle longest when the limit of connections is reached

Callers that are refused come back on new connections and leave the old ones open for up to 15 s. Ruled out: processor time (0.027 of 0.2 cores), the upstreams (not reached). Change: at the limit the connection idle longest, at least 0.5 s, is closed. Test: idle_connections_make_room_for_new_ones, fails without the change.

--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -65,6 +65,7 @@
     std::size_t max_header = std::size_t{16} << 10U;   // bytes of a request's headers
     std::size_t max_body = std::size_t{64} << 20U;     // bytes of a request's body
     std::size_t max_buffered = std::size_t{64} << 20U; // bytes of all bodies together
+    // At this number the connection that has been idle longest makes room for a new one.
     std::size_t max_connections = 2000;
     duration header_timeout = std::chrono::seconds(5); // from the first byte
     duration idle_timeout = std::chrono::seconds(30);  // between two requests
--- a/pistachiospan/http1/http1_test.cpp
+++ b/pistachiospan/http1/http1_test.cpp
@@ -379,3 +379,33 @@
     BOOST_TEST(http1::is_connection_header(all, "transfer-encoding"));
     BOOST_TEST(!http1::is_connection_header(all, "Cookie"));
 }
+
+// Pattern: callers that are refused come back on new connections and leave the old ones
+// open (scale-1 of kilat-gslb: 1,600 requests whose connection was not accepted in time).
+// Guards against idle connections that keep new callers out.
+BOOST_AUTO_TEST_CASE(idle_connections_make_room_for_new_ones)
+{
+    loop events;
+    http1::server* at = nullptr;
+    http1::server server(events.base.get(), server_address,
+                         {.received = [&](http1::exchange_id id, http1::request&&)
+                          {
+                              at->respond(id, {.status = 200});
+                          }});
+    at = &server;
+    server.set_limits({.max_connections = 3});
+    std::vector<std::unique_ptr<http1::client>> callers;
+    for (int each = 0; each < 6; ++each)
+    {
+        callers.push_back(
+            std::make_unique<http1::client>(events.base.get(), http1::client_options{}));
+        std::optional<http1::call_result> ended;
+        callers.back()->send(server_address, get("7"), {.timeout = 1500ms},
+                             [&](http1::call_result result)
+                             { ended = std::move(result); });
+        events.run([&] { return ended.has_value(); });
+        BOOST_TEST_REQUIRE(ended.has_value());
+        BOOST_TEST(ended->answer.status == 200);
+        BOOST_TEST(server.connections() <= 3U);
+    }
+}
--- a/pistachiospan/http1/server.cpp
+++ b/pistachiospan/http1/server.cpp
@@ -6,8 +6,10 @@
 #include <event2/listener.h>
 #include <sys/socket.h>
 
+#include <list>
 #include <system_error>
 #include <unordered_map>
+#include <utility>
 
 namespace pistachiospan::http1
 {
@@ -15,6 +17,7 @@
 namespace
 {
 
+using event_loop::monotonic_now;
 using event_loop::one_shot_timer;
 using internal::bufferevent_ptr;
 using internal::parse_error;
@@ -29,6 +32,9 @@
 // New connections that the kernel keeps until they are accepted.
 constexpr int backlog = 1024;
 
+// A connection that idled for less may be about to carry its next request.
+constexpr duration least_idle = std::chrono::milliseconds(500);
+
 constexpr std::size_t feed_piece = std::size_t{64} << 10U;
 
 std::string_view reason_of(int status)
@@ -148,6 +154,9 @@
         bool feeding = false;
         bool continued = false; // 100 Continue was sent
         bool closing = false;   // the last answer is being written
+        bool idle = false;      // stands in idle_order
+        std::list<connection*>::iterator idle_place;
+        time_point idle_since;
     };
 
     static void on_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int,
@@ -165,6 +174,8 @@
     void on_time_over(connection& late);
     void after_write(connection& written);
     void wait_for_request(connection& idle);
+    void end_idle(connection& busy);
+    void make_room();
     void count_body(connection& of, std::size_t bytes);
     void close(connection& ended);
 
@@ -178,6 +189,8 @@
             evconnlistener_free(owned);
         }
     };
+    std::list<connection*> idle_order; // longest idle first
+    one_shot_timer room_timer;
     std::unique_ptr<evconnlistener, listener_deleter> listener;
     std::unordered_map<connection_id, std::unique_ptr<connection>> open;
     std::unordered_map<exchange_id, connection_id> exchanges;
@@ -188,7 +201,13 @@
 
 server::implementation::implementation(event_base* base, const std::string& address,
                                        server_hooks hooks)
-    : base(base), hooks(std::move(hooks))
+    : base(base), hooks(std::move(hooks)),
+      room_timer(base,
+                 [this]
+                 {
+                     if (this->open.size() >= this->limits.max_connections)
+                         this->make_room();
+                 })
 {
     const sockaddr_in local = internal::parse_address(address);
     this->listener.reset(evconnlistener_new_bind(
@@ -225,11 +244,38 @@
     bufferevent_enable(made, EV_READ | EV_WRITE);
     this->wait_for_request(added);
     if (this->open.size() >= this->limits.max_connections)
-        evconnlistener_disable(this->listener.get());
+        this->make_room();
+}
+
+// Closes the connection that has been idle longest. When there is none to close, no
+// caller is accepted until one has ended.
+void server::implementation::make_room()
+{
+    if (!this->listener)
+        return;
+    if (!this->idle_order.empty() &&
+        monotonic_now() - this->idle_order.front()->idle_since >= least_idle)
+    {
+        this->close(*this->idle_order.front());
+        return;
+    }
+    evconnlistener_disable(this->listener.get());
+    this->room_timer.start(least_idle);
+}
+
+void server::implementation::end_idle(connection& busy)
+{
+    if (!std::exchange(busy.idle, false))
+        return;
+    this->idle_order.erase(busy.idle_place);
 }
 
 void server::implementation::wait_for_request(connection& idle)
 {
+    this->end_idle(idle);
+    idle.idle = true;
+    idle.idle_since = monotonic_now();
+    idle.idle_place = this->idle_order.insert(this->idle_order.end(), &idle);
     idle.parser.set_limits(
         {.max_header = this->limits.max_header, .max_body = this->limits.max_body});
     idle.timer.start(this->limits.idle_timeout);
@@ -269,6 +315,7 @@
     const std::string_view piece = internal::peek(input, feed_piece);
     if (piece.empty())
         return false;
+    this->end_idle(from);
     const parse_state before = from.parser.state();
     const std::size_t taken = from.parser.feed(piece);
     evbuffer_drain(input, taken);
@@ -396,6 +443,7 @@
     const exchange_id left = ended.exchange;
     this->count_body(ended, 0);
     this->exchanges.erase(left);
+    this->end_idle(ended);
     this->open.erase(ended.id);
     if (this->listener && this->open.size() < this->limits.max_connections)
         evconnlistener_enable(this->listener.get());
