Wait for a read of the store that began after the VM fell behind

Ruled out: the store, the copy's position. Change: a read of the store that began after the VM learned that it is behind is left.

--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -54,6 +54,7 @@
     }
     const mirror::relay_page& given = outcome.value();
     this->copy.apply_relayed(now, given);
+    this->last_read = now;
     this->hooks.read(false, true, false);
     this->relay_instance = given.instance;
     this->relay_cursor = given.cursor;
@@ -94,6 +95,7 @@
         this->copy.apply_changes(now, outcome.value());
     this->whole_needed = false;
     this->store_read = now;
+    this->last_read = now;
     this->backoff = this->options.first_backoff;
     if (!this->in_reach)
     {
@@ -142,10 +144,13 @@
     this->next.start(duration(0));
 }
 
-void follower::hurry()
+bool follower::hurry(time_point since)
 {
+    if (this->source.empty() && this->began >= since)
+        return false;
     this->store_first = true;
     this->restart();
+    return true;
 }
 
 } // namespace pistachiospan::edge::internal
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -43,8 +43,9 @@
 
     // Gives up the pending read, which may hang on a dead connection, and begins another.
     void restart();
-    // The same, from the store.
-    void hurry();
+    // The same, from the store, since another VM has known more from this time on. A read
+    // of the store that began later brings the change and is left: returns false.
+    bool hurry(time_point since);
     // False when the store has not answered for `lost_after`.
     bool reaches_store(time_point now) const
     {
@@ -53,6 +54,12 @@
     // Reads elsewhere if the source in use is no longer the one to choose, or if the
     // store is late and there is a VM to follow.
     void reconsider(time_point now);
+    // Time since the last successful read, of the store or another VM; `duration::max()`
+    // without any. While a change is applied: since the read before.
+    duration news_age(time_point now) const
+    {
+        return this->last_read ? now - *this->last_read : duration::max();
+    }
     // Time since the last successful read of the store; `duration::max()` without any.
     duration store_age(time_point now) const
     {
@@ -77,6 +84,7 @@
     bool whole_needed = true;
     bool in_reach = true; // the last read of the store succeeded
     time_point failing_since;
+    std::optional<time_point> last_read;  // end of the last good read
     std::optional<time_point> store_read; // end of the last good read of the store
     std::string source;                   // of the read in progress; empty: the store
     bool store_first = false; // the next read goes to the store whatever is chosen
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -66,6 +66,9 @@
 
     // False when the store has not answered for a while.
     bool reaches_store(time_point now) const;
+    // Time since the operator's rows were last read, here or at another VM, before the
+    // read that is being applied.
+    duration operator_news_age(time_point now) const;
     // Time since the last successful read of the registry from the store, which is read
     // most often; `duration::max()` without any.
     duration store_age(time_point now) const;
@@ -95,7 +98,7 @@
     void publish(followed_table& of);
     void publish_changes();
     void catch_up(time_point now);
-    static void read_if_older(followed_table& of, std::uint64_t change);
+    static void read_if_older(followed_table& of, std::uint64_t change, time_point since);
 
     store_view_options options;
     peer_link& peers;
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -121,6 +121,11 @@
            this->upstreams.reads.reaches_store(now);
 }
 
+duration store_view::operator_news_age(time_point now) const
+{
+    return this->operator_rows.reads.news_age(now);
+}
+
 duration store_view::store_age(time_point now) const
 {
     return this->upstreams.reads.store_age(now);
@@ -138,7 +143,7 @@
     }
     if (now - this->behind_since < this->options.behind_limit)
         return;
-    this->behind_since = now;
+    const time_point since = std::exchange(this->behind_since, now);
     const fleet::report& said = best->said;
     this->hooks.log("tables_behind",
                     {{"peer", said.vm.value},
@@ -146,16 +151,16 @@
                      {"operator_change", this->operator_rows.copy.newest_change()},
                      {"peer_registry_change", said.registry_change},
                      {"registry_change", this->upstreams.copy.newest_change()}});
-    read_if_older(this->operator_rows, said.operator_change);
-    read_if_older(this->upstreams, said.registry_change);
+    read_if_older(this->operator_rows, said.operator_change, since);
+    read_if_older(this->upstreams, said.registry_change, since);
 }
 
-void store_view::read_if_older(followed_table& of, std::uint64_t change)
+void store_view::read_if_older(followed_table& of, std::uint64_t change, time_point since)
 {
     if (change <= of.newest())
         return;
     of.answered = change;
-    of.reads.hurry();
+    of.reads.hurry(since);
 }
 
 bool store_view::hurry_configuration(time_point now)
@@ -165,9 +170,7 @@
     if (now - *this->version_behind_since < this->options.version_limit ||
         !this->reaches_store(now))
         return false;
-    this->version_behind_since = now;
-    this->operator_rows.reads.hurry();
-    return true;
+    return this->operator_rows.reads.hurry(*this->version_behind_since);
 }
 
 void store_view::note_newest_configuration()
