Take an evacuation that was missed while cut off for one in force

Ruled out: requests held back by the cut. Change: with no news for 3 s, and another VM that knows the change already, it holds at once. When the store was away for all, the ramp stays.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -35,6 +35,10 @@
 // One in this many reports is whole.
 constexpr std::uint64_t whole_report = 6;
 
+// A VM that has had no news of the operator for this long, or has just started, takes an
+// evacuation for one that has been in force for a while.
+constexpr duration old_news = std::chrono::seconds(3);
+
 constexpr duration register_retry = std::chrono::seconds(1);
 
 // Descriptors kept for everything but callers' connections.
@@ -83,7 +87,9 @@
 
     void change_operator_row(const mirror::row& changed);
     void activate(const mirror::row& changed);
-    void change_evacuations();
+    // `version`: of the row that changed; 0: a row has gone.
+    void change_evacuations(std::uint64_t version);
+    bool others_know(time_point now, std::uint64_t operator_change) const;
     void change_upstream(const mirror::row& changed);
     void remove_upstream(const std::string& id);
 
@@ -227,7 +233,7 @@
                               .removed =
                                   [this](const std::string&)
                               {
-                                  this->change_evacuations();
+                                  this->change_evacuations(0);
                               }},
             .upstreams = {.changed = [this](const mirror::row& row)
                           { this->change_upstream(row); },
@@ -317,7 +323,7 @@
     if (this->words.is_configuration(changed.key))
         this->activate(changed);
     else
-        this->change_evacuations();
+        this->change_evacuations(changed.version);
 }
 
 void edge_daemon::implementation::activate(const mirror::row& changed)
@@ -355,7 +361,7 @@
                                 {"accounts", next->accounts().size()}});
 }
 
-void edge_daemon::implementation::change_evacuations()
+void edge_daemon::implementation::change_evacuations(std::uint64_t version)
 {
     std::set<std::string> all;
     for (const mirror::row& each : this->tables.copy(table::operator_rows).whole().rows)
@@ -364,9 +370,24 @@
     if (all == this->evacuated)
         return;
     this->evacuated = all;
-    const bool at_start = !this->tables.copy(table::operator_rows).loaded();
-    this->known_upstreams.set_evacuated(monotonic_now(), all, at_start);
-    this->log("evacuation", {{"data_centres", all}, {"at_start", at_start}});
+    const time_point now = monotonic_now();
+    const duration age = this->tables.operator_news_age(now);
+    const bool in_force = age > old_news && this->others_know(now, version);
+    this->known_upstreams.set_evacuated(now, all, in_force);
+    this->log("evacuation", {{"data_centres", all},
+                             {"in_force", in_force},
+                             {"news_age_ms", milliseconds_of(age)}});
+}
+
+// Another VM has known this change already, as far as this one can tell. A VM that
+// starts, or that was cut off, learns of changes long after the others.
+bool edge_daemon::implementation::others_know(time_point now,
+                                              std::uint64_t operator_change) const
+{
+    if (!this->tables.copy(table::operator_rows).loaded())
+        return true;
+    return operator_change > 0 &&
+           this->vms.best_informed(now, operator_change - 1, UINT64_MAX) != nullptr;
 }
 
 void edge_daemon::implementation::change_upstream(const mirror::row& changed)
