Use what stands already, and remove what nothing reads

The soak's proxy and the upstream stand-in wrote socket resets and header look-ups again; http1 has the reset, and has header_text now. The listener's check for its limit stands once. Removed: settings' region, the index of services, the client's fresh_connection, the soak's readiness address. The soak's comment and names say what they mean in the field's terms. No change of behaviour.

--- a/pistachiospan/configuration/configuration.cpp
+++ b/pistachiospan/configuration/configuration.cpp
@@ -27,8 +27,6 @@
     for (const account& each : this->all.accounts)
         for (const std::string& key : each.keys)
             this->by_key.emplace(key, &each);
-    for (const service& each : this->all.services)
-        this->by_name.emplace(each.name, &each);
 }
 
 const route* state::find_route(std::string_view host, std::string_view path) const
@@ -56,12 +54,6 @@
     return found == this->by_key.end() ? nullptr : found->second;
 }
 
-const service* state::find_service(std::string_view name) const
-{
-    const auto found = this->by_name.find(name);
-    return found == this->by_name.end() ? nullptr : found->second;
-}
-
 const target& choose_target(const route& of, std::string_view request_id)
 {
     const double total =
--- a/pistachiospan/configuration/configuration.hpp
+++ b/pistachiospan/configuration/configuration.hpp
@@ -119,7 +119,6 @@
     // The route of this host with the longest prefix that begins the path. Null: none.
     const route* find_route(std::string_view host, std::string_view path) const;
     const account* find_account(std::string_view key) const;
-    const service* find_service(std::string_view name) const;
 
 private:
     content all;
@@ -136,7 +135,6 @@
 
     text_map<text_map<const route*>> by_host; // host, then prefix
     text_map<const account*> by_key;
-    text_map<const service*> by_name;
 };
 
 // The service for one request: by weight, evenly over the requests, the same for one id.
--- a/pistachiospan/edge/edge.hpp
+++ b/pistachiospan/edge/edge.hpp
@@ -28,7 +28,6 @@
 {
     vm_id vm;
     std::string data_centre;
-    std::string region;
     upstreams::places places; // all data centres
     std::string callers;      // address for requests, ip:port; so are the next ones
     std::string readiness;    // empty: none
--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -86,7 +86,6 @@
         time_point idle_since;
         std::string unsent; // the request, until the connection is open
         bool connected = false;
-        bool fresh = true;
     };
 
     static void on_read(bufferevent*, void* user);
@@ -192,10 +191,7 @@
         const bool silent =
             evbuffer_get_length(bufferevent_get_input(last->socket.get())) == 0;
         if (silent && now - last->idle_since <= max_idle)
-        {
-            last->fresh = false;
             return last;
-        }
         this->close(*last);
     }
     return nullptr;
@@ -347,7 +343,6 @@
 // connections in order.
 void client::implementation::finish(connection& used, call_result outcome, bool keep)
 {
-    outcome.fresh_connection = used.fresh;
     this->calls.erase(used.call);
     this->finished.push_back({used.call, std::move(used.done), std::move(outcome)});
     event_active(this->deliver_event.get(), 0, 0);
--- a/pistachiospan/http1/headers.cpp
+++ b/pistachiospan/http1/headers.cpp
@@ -28,6 +28,12 @@
     return nullptr;
 }
 
+std::string header_text(const header_list& headers, std::string_view name)
+{
+    const std::string* found = find_header(headers, name);
+    return found == nullptr ? std::string() : *found;
+}
+
 bool is_connection_header(const header_list& all, std::string_view name)
 {
     static constexpr std::array<std::string_view, 9> fixed = {
--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -36,6 +36,9 @@
 // The value of the first header of this name, without regard to case; null if absent.
 const std::string* find_header(const header_list& headers, std::string_view name);
 
+// The same value; empty if absent.
+std::string header_text(const header_list& headers, std::string_view name);
+
 bool equal_names(std::string_view left, std::string_view right);
 
 // True for headers that concern one connection only, by themselves or because
@@ -127,7 +130,6 @@
     call_end end = call_end::broken;
     response answer;
     std::string detail; // what broke, for logs
-    bool fresh_connection = false;
 };
 
 using call_handler = std::function<void(call_result)>;
--- a/pistachiospan/http1/server.cpp
+++ b/pistachiospan/http1/server.cpp
@@ -201,13 +201,7 @@
 
 server::implementation::implementation(event_base* base, const std::string& address,
                                        server_hooks hooks)
-    : base(base), hooks(std::move(hooks)),
-      room_timer(base,
-                 [this]
-                 {
-                     if (this->open.size() >= this->limits.max_connections)
-                         this->make_room();
-                 })
+    : base(base), hooks(std::move(hooks)), room_timer(base, [this] { this->make_room(); })
 {
     const sockaddr_in local = internal::parse_address(address);
     this->listener.reset(evconnlistener_new_bind(
@@ -243,15 +237,14 @@
     bufferevent_setwatermark(made, EV_READ, 0, read_ahead);
     bufferevent_enable(made, EV_READ | EV_WRITE);
     this->wait_for_request(added);
-    if (this->open.size() >= this->limits.max_connections)
-        this->make_room();
+    this->make_room();
 }
 
 // Closes the connection that has been idle longest. When there is none to close, no
 // caller is accepted until one has ended.
 void server::implementation::make_room()
 {
-    if (!this->listener)
+    if (!this->listener || this->open.size() < this->limits.max_connections)
         return;
     if (!this->idle_order.empty() &&
         monotonic_now() - this->idle_order.front()->idle_since >= least_idle)
--- a/tools/soak/fault_proxy.cpp
+++ b/tools/soak/fault_proxy.cpp
@@ -1,7 +1,5 @@
 #include "tools/soak/fault_proxy.hpp"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <stdexcept>
 
@@ -14,10 +12,9 @@
 // Delayed bytes move on at the next of these ticks.
 constexpr duration delay = std::chrono::milliseconds(150);
 
-void reset_on_close(bufferevent* of)
+void reset(bufferevent* when_freed)
 {
-    const linger now{.l_onoff = 1, .l_linger = 0};
-    setsockopt(bufferevent_getfd(of), SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    http1::internal::reset_on_close(bufferevent_getfd(when_freed));
 }
 
 } // namespace
@@ -49,7 +46,7 @@
     made.near = wrap(socket);
     if (me.fault == link_fault::reset)
     {
-        reset_on_close(made.near.get());
+        reset(made.near.get());
         me.open.pop_back();
         return;
     }
@@ -113,7 +110,7 @@
     if (!ended.spoiled)
         bufferevent_write_buffer(other, bufferevent_get_input(from));
     if ((what & BEV_EVENT_ERROR) != 0)
-        reset_on_close(other);
+        reset(other);
     else
         bufferevent_flush(other, EV_WRITE, BEV_FLUSH);
     const auto at =
@@ -128,8 +125,8 @@
         return;
     for (pair& each : this->open)
     {
-        reset_on_close(each.near.get());
-        reset_on_close(each.far.get());
+        reset(each.near.get());
+        reset(each.far.get());
     }
     this->open.clear();
 }
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -17,7 +17,7 @@
 namespace names = platform::names;
 
 // The platform's bounds, and the time without faults after which they hold.
-constexpr duration contact = std::chrono::seconds(3);
+constexpr duration calm_time = std::chrono::seconds(3);
 constexpr duration configuration_bound = std::chrono::seconds(2);
 constexpr duration drain_bound = std::chrono::seconds(2);
 constexpr duration recovery_bound = std::chrono::seconds(15);
@@ -128,20 +128,20 @@
     this->broken.push_back(this->happened.back());
 }
 
-// The platform's "in touch", for a VM and for the store.
-bool soak::in_touch(const vm_process& vm) const
+// Bounds in seconds hold only for a VM that runs, reaches the store, and has met no fault
+// for a while, at itself or at the store.
+bool soak::undisturbed(const vm_process& vm) const
 {
     return vm.running() && !vm.paused && !vm.cut_off && vm.stop_begun == time_point() &&
-           this->now - vm.last_fault > contact &&
-           this->now - this->store_fault_until > contact;
+           this->now - vm.last_fault > calm_time &&
+           this->now - this->store_fault_until > calm_time;
 }
 
 void soak::note_run(const upstream_state& at, const http1::request& seen)
 {
     const auto value = [&seen](std::string_view name)
     {
-        const std::string* found = http1::find_header(seen.headers, name);
-        return found == nullptr ? std::string() : *found;
+        return http1::header_text(seen.headers, name);
     };
     const std::string id = value(names::request_id);
     ++this->runs[id];
@@ -158,10 +158,10 @@
         this->break_promise("order ran twice: " + id);
     const bool leaving =
         at.draining_since != time_point() && this->now - at.draining_since > drain_bound;
-    if (leaving && this->in_touch(*of.vm) && of.sent > at.draining_since + drain_bound)
+    if (leaving && this->undisturbed(*of.vm) && of.sent > at.draining_since + drain_bound)
         this->break_promise("request " + id + " reached leaving " + at.id);
     const auto key = this->withdrawn.find(of.key);
-    if (key != this->withdrawn.end() && this->in_touch(*of.vm) &&
+    if (key != this->withdrawn.end() && this->undisturbed(*of.vm) &&
         of.sent > key->second + configuration_bound)
         this->break_promise("request " + id + " ran with a withdrawn key");
 }
--- a/tools/soak/soak.hpp
+++ b/tools/soak/soak.hpp
@@ -77,7 +77,7 @@
     void check_recovery();
     void note(const std::string& event);
     void break_promise(const std::string& what);
-    bool in_touch(const vm_process& vm) const;
+    bool undisturbed(const vm_process& vm) const;
     std::size_t pick(std::size_t count);
 
     event_base* base;
--- a/tools/soak/vm_process.hpp
+++ b/tools/soak/vm_process.hpp
@@ -42,10 +42,6 @@
     {
         return this->options.ip + ":18206";
     }
-    std::string readiness() const
-    {
-        return this->options.ip + ":18201";
-    }
     const std::string& name() const
     {
         return this->options.name;
