Reckon near and far once in upstreams, and keep a lost VM's mark at the VM

Tiers, paths and the plan's order each compared data centres and regions. The cold token was looked for twice for each choice.

--- a/pistachiospan/fleet/fleet.cpp
+++ b/pistachiospan/fleet/fleet.cpp
@@ -194,11 +194,11 @@
             return {};
         said = complete(std::move(said), known->second.said);
     }
-    observation seen{.appeared = !this->was_live[name]};
-    seen.returned = known != this->peers.end() && known->second.overdue;
-    if (!seen.appeared && known != this->peers.end() && !seen.returned)
+    const bool first = known == this->peers.end();
+    observation seen{.appeared = first || known->second.lost,
+                     .returned = !first && known->second.overdue};
+    if (!seen.appeared && !seen.returned)
         seen.change = difference(known->second.said.demand, said.demand);
-    this->was_live[name] = true;
     this->addresses.emplace(name, known_address{.since = now}).first->second.address =
         said.peer_address;
     peer& kept = this->peers[name];
@@ -211,6 +211,7 @@
     }
     kept.said = std::move(said);
     kept.heard = now;
+    kept.lost = false;
     return seen;
 }
 
@@ -223,11 +224,13 @@
 std::vector<vm_id> membership::expire(time_point now)
 {
     std::vector<vm_id> silent;
-    for (const auto& [name, each] : this->peers)
-        if (this->was_live[name] && !this->is_live(now, each))
-            silent.push_back(name);
-    for (const vm_id& name : silent)
-        this->was_live[name] = false;
+    for (auto& [name, each] : this->peers)
+    {
+        if (each.lost || this->is_live(now, each))
+            continue;
+        each.lost = true;
+        silent.push_back(name);
+    }
     return silent;
 }
 
--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -81,6 +81,7 @@
     report said;
     time_point heard;
     bool overdue = false; // its reports are
+    bool lost = false;    // told by expire(), and not heard since
     // Parts of the accounts' limits that it had when its reports became overdue.
     std::map<std::string, double> reserved;
 };
@@ -94,9 +95,10 @@
     void set_self(report own);
     // To be called when the own report is sent: notes what all VMs have told by now.
     void note_told(time_point now);
-    const report& own() const
+    // Between two reports: whether this VM serves callers.
+    void set_ready(bool ready)
     {
-        return this->self;
+        this->self.ready = ready;
     }
 
     // Peer addresses of all VMs that have registered with the store.
@@ -171,7 +173,6 @@
     };
     std::map<vm_id, known_address> addresses;
     bool registered_known = false;
-    std::map<vm_id, bool> was_live;
     std::deque<told_total> totals; // of the time in which reports become overdue
 };
 
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -229,13 +229,24 @@
     return of.slowness * fresh + (1 - fresh);
 }
 
+int upstream_set::distance_to(std::string_view data_centre, std::string_view in) const
+{
+    if (data_centre == this->options.data_centre)
+        return 0;
+    return in == this->region ? 1 : 2;
+}
+
 double upstream_set::path_to(const upstream& at) const
 {
-    if (at.region != this->region)
-        return micros(this->options.between_regions);
-    if (at.said.data_centre != this->options.data_centre)
+    switch (this->distance_to(at.said.data_centre, at.region))
+    {
+    case 0:
+        return 0;
+    case 1:
         return micros(this->options.between_data_centres);
-    return 0;
+    default:
+        return micros(this->options.between_regions);
+    }
 }
 
 bool upstream_set::stalled(time_point now, const upstream& of,
@@ -309,16 +320,6 @@
     return of.cold_tokens >= 1;
 }
 
-bool upstream_set::take_cold_token(time_point now, upstream& of,
-                                   const service_group& group)
-{
-    if (!this->has_cold_token(now, of, group))
-        return false;
-    if (now < of.cold_until)
-        of.cold_tokens -= 1;
-    return true;
-}
-
 bool upstream_set::in_homes(const upstream& of, std::span<const std::string> homes) const
 {
     return homes.empty() || std::ranges::find(homes, of.region) != homes.end();
@@ -350,14 +351,6 @@
     return slots;
 }
 
-int upstream_set::distance_of(const std::string& data_centre) const
-{
-    if (data_centre == this->options.data_centre)
-        return 0;
-    const auto found = this->where.find(data_centre);
-    return found != this->where.end() && found->second == this->region ? 1 : 2;
-}
-
 // Nearest first, so that the objects that stay near are the same when the parts change.
 void upstream_set::order_plan(service_group& group) const
 {
@@ -366,7 +359,7 @@
         group.plan_order.push_back(name);
     std::ranges::stable_sort(group.plan_order, {},
                              [this](const std::string& name)
-                             { return this->distance_of(name); });
+                             { return this->distance_to(name, this->where.at(name)); });
 }
 
 // Before any demand is known: the same from each data centre.
@@ -491,9 +484,7 @@
 {
     if (planned != nullptr && of.said.data_centre == *planned)
         return 0;
-    if (of.said.data_centre == this->options.data_centre)
-        return 1;
-    return of.region == this->region ? 2 : 3;
+    return 1 + this->distance_to(of.said.data_centre, of.region);
 }
 
 selection upstream_set::select(time_point now, const query& wanted)
@@ -554,7 +545,8 @@
                 .load = this->load_of(now, *best->at),
                 .failure = selection_failure::no_room,
                 .retry_after = std::max(hoped - wanted.objective, least_retry)};
-    this->take_cold_token(now, *best->at, group);
+    if (now < best->at->cold_until)
+        best->at->cold_tokens -= 1;
     return {.found = true,
             .id = best->at->said.id,
             .address = best->at->said.address,
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -301,7 +301,6 @@
     bool usable(time_point now, const upstream& of, const query& wanted,
                 std::uint64_t object_hash) const;
     bool stalled(time_point now, const upstream& of, const service_group& group) const;
-    bool take_cold_token(time_point now, upstream& of, const service_group& group);
     bool has_cold_token(time_point now, upstream& of, const service_group& group);
     double presence(time_point now, const std::string& data_centre) const;
     std::map<std::string, double> slots_of(time_point now,
@@ -314,7 +313,8 @@
     const std::string* planned(const service_group& group,
                                std::uint64_t object_hash) const;
     int tier_of(const upstream& of, const std::string* planned) const;
-    int distance_of(const std::string& data_centre) const;
+    // 0: the own data centre; 1: another one of the region; 2: another region.
+    int distance_to(std::string_view data_centre, std::string_view region) const;
     bool in_homes(const upstream& of, std::span<const std::string> homes) const;
     void learn(time_point now, upstream& at, const selection& chosen, duration latency);
     void eject(time_point now, upstream& of);
