Make a log line's fields only if the line is written, and name how a read ended

Most lines of an overload are left out by their rate, but their 17 fields were made first. The log takes a function now. A read's end is a struct in place of three booleans; a table's name is derived; two queries that wait for changes are answered by one function; the process's number is read once; the directory sets only whether the VM is ready.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -84,6 +84,7 @@
     gateway::call_id send(const gateway::attempt& to);
     void refuse(http1::exchange_id id, const gateway::refusal_answer& answer);
     void record(const gateway::record& made);
+    fields fields_of(const gateway::record& made) const;
 
     void change_operator_row(const mirror::row& changed);
     void activate(const mirror::row& changed);
@@ -113,6 +114,7 @@
     edge_options options;
     translation words;
     store_access store;
+    incarnation started;
     event_log::event_log events;
     internal::metrics numbers;
     upstreams::upstream_set known_upstreams;
@@ -135,18 +137,17 @@
     one_shot_timer exit_timer;
     std::uint64_t report_sequence = 0;
     std::uint64_t answers = 0;
-    incarnation started;
     bool stopping = false;
     bool accepting = true;
     bool newcomer = true; // a VM needs this one's whole report
     time_point stop_begun;
-    time_point ready_since;
 };
 
 edge_daemon::implementation::implementation(event_base* base, edge_options given,
                                             translation words, store_access store)
     : base(base), options(std::move(given)), words(std::move(words)),
-      store(std::move(store)), events({.vm = this->options.vm.value}),
+      store(std::move(store)), started(process_number()),
+      events({.vm = this->options.vm.value}),
       known_upstreams({.seed = hash_bytes(this->options.vm.value),
                        .data_centre = this->options.data_centre},
                       this->options.places),
@@ -172,13 +173,13 @@
              {
                  return this->tables.copy(wanted);
              }}),
-      tables(base, {.instance = process_number()}, this->store, this->peers, this->vms,
+      tables(base, {.instance = this->started}, this->store, this->peers, this->vms,
              this->make_store_hooks()),
       ticker(base, this->options.report_interval, [this] { this->tick(); }),
       peer_checker(base, peer_check_interval, [this] { this->check_peers(); }),
       vm_reader(base, [this] { this->read_vms(); }),
       registrar(base, [this] { this->register_self(); }),
-      exit_timer(base, [this] { this->finish_when_idle(); }), started(process_number())
+      exit_timer(base, [this] { this->finish_when_idle(); })
 {
     const auto serve = [this](const std::string& address, auto answer)
     {
@@ -195,6 +196,9 @@
     this->directory = serve(this->options.directory, &implementation::answer_directory);
     this->readiness = serve(this->options.readiness, &implementation::answer_readiness);
     this->metrics = serve(this->options.metrics, &implementation::answer_metrics);
+    this->vms.set_self({.vm = this->options.vm,
+                        .data_centre = this->options.data_centre,
+                        .caller_address = this->options.callers});
     this->registrar.start(duration(0));
     this->log("started", {{"data_centre", this->options.data_centre},
                           {"callers", this->options.callers},
@@ -245,9 +249,9 @@
             .log = [this](std::string_view event, const fields& content)
             { this->log(event, content); },
             .read =
-                [this](std::string_view name, bool from_store, bool good)
+                [this](std::string_view name, const internal::read_end& ended)
             {
-                this->numbers.count_read(name, from_store, good);
+                this->numbers.count_read(name, ended.from_store, ended.good);
             }};
 }
 
@@ -298,24 +302,30 @@
         made.event == "answered" && !late && made.attempts == 1 && made.status < 500;
     if (routine && ++this->answers % answer_sample != 0)
         return;
-    this->log(late && made.event == "answered" ? "answered_late" : made.event,
-              {{"id", made.request_id},
-               {"route", made.route},
-               {"account", made.account},
-               {"service", made.service},
-               {"upstream", made.upstream},
-               {"reason", gateway::name_of(made.reason)},
-               {"status", made.status},
-               {"attempts", made.attempts},
-               {"version", made.version},
-               {"elapsed_ms", milliseconds_of(made.elapsed)},
-               {"left_ms", milliseconds_of(made.time_left)},
-               {"expected_ms", milliseconds_of(made.expected)},
-               {"wait_ms", milliseconds_of(made.wait)},
-               {"objective_ms", milliseconds_of(made.objective)},
-               {"load", made.load},
-               {"store_position", this->tables.copy(table::upstreams).position()},
-               {"detail", made.detail}});
+    this->events.write(monotonic_now(), wall_now(),
+                       late && made.event == "answered" ? "answered_late" : made.event,
+                       [this, &made] { return this->fields_of(made); });
+}
+
+fields edge_daemon::implementation::fields_of(const gateway::record& made) const
+{
+    return {{"id", made.request_id},
+            {"route", made.route},
+            {"account", made.account},
+            {"service", made.service},
+            {"upstream", made.upstream},
+            {"reason", gateway::name_of(made.reason)},
+            {"status", made.status},
+            {"attempts", made.attempts},
+            {"version", made.version},
+            {"elapsed_ms", milliseconds_of(made.elapsed)},
+            {"left_ms", milliseconds_of(made.time_left)},
+            {"expected_ms", milliseconds_of(made.expected)},
+            {"wait_ms", milliseconds_of(made.wait)},
+            {"objective_ms", milliseconds_of(made.objective)},
+            {"load", made.load},
+            {"store_position", this->tables.copy(table::upstreams).position()},
+            {"detail", made.detail}};
 }
 
 void edge_daemon::implementation::change_operator_row(const mirror::row& changed)
@@ -345,7 +355,7 @@
                   {{"version", next->version()}, {"active", active->version()}});
         return;
     }
-    this->tables.note_newest_configuration();
+    this->tables.note_configuration();
     this->requests.set_configuration(monotonic_now(), next);
     this->callers.set_limits({.max_header = next->limits().max_header,
                               .max_body = next->limits().max_body,
@@ -571,12 +581,7 @@
         server.respond(id, {.status = 404});
         return;
     }
-    fleet::report own = this->vms.own();
-    own.ready = this->ready();
-    own.draining = this->stopping;
-    own.data_centre = this->options.data_centre;
-    own.caller_address = this->options.callers;
-    this->vms.set_self(std::move(own));
+    this->vms.set_ready(this->ready());
     const std::vector<std::string> addresses =
         this->vms.addresses_for(monotonic_now(), caller->region, caller->data_centre);
     if (addresses.empty())
--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -47,7 +47,7 @@
     const time_point now = monotonic_now();
     if (!outcome)
     {
-        this->hooks.read(false, false, false);
+        this->hooks.read({});
         this->store_first = true;
         this->next.start(duration(0));
         return;
@@ -55,7 +55,7 @@
     const mirror::relay_page& given = outcome.value();
     this->copy.apply_relayed(now, given);
     this->last_read = now;
-    this->hooks.read(false, true, false);
+    this->hooks.read({.good = true});
     this->relay_instance = given.instance;
     this->relay_cursor = given.cursor;
     this->next.start(this->began + this->options.pace - now);
@@ -102,7 +102,7 @@
         this->in_reach = true;
         this->hooks.regained();
     }
-    this->hooks.read(true, true, false);
+    this->hooks.read({.from_store = true, .good = true});
     this->next.start(this->began + this->options.pace - now);
 }
 
@@ -115,7 +115,9 @@
         return;
     }
     this->copy.note_outage(monotonic_now());
-    this->hooks.read(true, false, problem.code == make_error_code(errc::unknown_outcome));
+    this->hooks.read(
+        {.from_store = true,
+         .timed_out = problem.code == make_error_code(errc::unknown_outcome)});
     if (this->in_reach)
     {
         this->in_reach = false;
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -25,14 +25,21 @@
     duration longest_backoff = std::chrono::milliseconds(400);
 };
 
+// How a read ended.
+struct read_end
+{
+    bool from_store = false; // else from another VM
+    bool good = false;
+    bool timed_out = false; // the store gave no answer
+};
+
 struct follower_hooks
 {
     // Peer address of the VM to follow; empty: the store.
     std::function<std::string()> choose;
-    std::function<void(const error&)> lost;   // the first failure of the store
-    std::function<void()> regained = nullptr; // its first success after that
-    // Each read that has ended; `timed_out`: without an answer.
-    std::function<void(bool from_store, bool good, bool timed_out)> read = nullptr;
+    std::function<void(const error&)> lost;              // the first failure of the store
+    std::function<void()> regained = nullptr;            // its first success after that
+    std::function<void(const read_end&)> read = nullptr; // each read
 };
 
 class follower
--- a/pistachiospan/edge/internal/peer_link.hpp
+++ b/pistachiospan/edge/internal/peer_link.hpp
@@ -64,6 +64,7 @@
     void answer(http1::exchange_id exchange, const http1::request& asked);
     void respond(http1::exchange_id exchange, const relay_query& query);
     void expire();
+    void answer_waiting(const std::function<bool(const waiting_query&)>& ready);
 
     peer_link_hooks hooks;
     int socket = -1;
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -43,7 +43,7 @@
     mirror::mirror_hooks upstreams;
     std::function<void(std::string_view event, const nlohmann::ordered_json&)> log;
     // Each read that has ended.
-    std::function<void(std::string_view table, bool from_store, bool good)> read;
+    std::function<void(std::string_view table, const read_end&)> read;
 };
 
 class store_view
@@ -61,11 +61,9 @@
     // Another VM has a newer version of the configuration. Reads the operator's rows from
     // the store if that has been so for a while, and returns true.
     bool hurry_configuration(time_point now);
-    // This VM has the newest version that it has heard of.
-    void note_newest_configuration();
+    // This VM has taken a version: whether it is behind is to be seen anew.
+    void note_configuration();
 
-    // False when the store has not answered for a while.
-    bool reaches_store(time_point now) const;
     // Time since the operator's rows were last read, here or at another VM, before the
     // read that is being applied.
     duration operator_news_age(time_point now) const;
@@ -76,14 +74,13 @@
 private:
     struct followed_table
     {
-        followed_table(store_view& owner, event_base* base, std::string name,
-                       follower_options reading, const store_access& store,
-                       mirror::mirror_options copying, mirror::mirror_hooks hooks);
+        followed_table(store_view& owner, event_base* base, follower_options reading,
+                       const store_access& store, mirror::mirror_options copying,
+                       mirror::mirror_hooks hooks);
 
         // Newest change that is known here or was asked the store for.
         std::uint64_t newest() const;
 
-        std::string name;
         table which;
         mirror::table_mirror copy;
         follower reads;
@@ -93,7 +90,10 @@
         std::uint64_t answered = 0;
     };
 
-    follower_hooks make_hooks(const std::string& name);
+    follower_hooks make_hooks(table of);
+    void finish_read(table of, const read_end& ended);
+    // False when the store has not answered for a while.
+    bool reaches_store(time_point now) const;
     std::string choose_source(time_point now) const;
     void publish(followed_table& of);
     void publish_changes();
--- a/pistachiospan/edge/peer_link.cpp
+++ b/pistachiospan/edge/peer_link.cpp
@@ -4,7 +4,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <functional>
 #include <sstream>
 #include <system_error>
 
@@ -177,32 +179,23 @@
 
 void peer_link::publish(table changed)
 {
-    std::vector<waiting_query> ready;
-    std::erase_if(this->waiting,
-                  [&](const waiting_query& each)
-                  {
-                      if (each.query.followed != changed)
-                          return false;
-                      ready.push_back(each);
-                      return true;
-                  });
-    for (const waiting_query& each : ready)
-        this->respond(each.exchange, each.query);
+    this->answer_waiting([changed](const waiting_query& each)
+                         { return each.query.followed == changed; });
 }
 
 void peer_link::expire()
 {
-    const time_point now = event_loop::monotonic_now();
-    std::vector<waiting_query> over;
-    std::erase_if(this->waiting,
-                  [&](const waiting_query& each)
-                  {
-                      if (now < each.until)
-                          return false;
-                      over.push_back(each);
-                      return true;
-                  });
-    for (const waiting_query& each : over)
+    this->answer_waiting([now = event_loop::monotonic_now()](const waiting_query& each)
+                         { return now >= each.until; });
+}
+
+void peer_link::answer_waiting(const std::function<bool(const waiting_query&)>& ready)
+{
+    const auto first = std::stable_partition(this->waiting.begin(), this->waiting.end(),
+                                             std::not_fn(ready));
+    const std::vector<waiting_query> answered(first, this->waiting.end());
+    this->waiting.erase(first, this->waiting.end());
+    for (const waiting_query& each : answered)
         this->respond(each.exchange, each.query);
 }
 
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -8,12 +8,23 @@
 
 using event_loop::monotonic_now;
 
-store_view::followed_table::followed_table(
-    store_view& owner, event_base* base, std::string given_name, follower_options reading,
-    const store_access& store, mirror::mirror_options copying, mirror::mirror_hooks hooks)
-    : name(std::move(given_name)), which(reading.followed),
-      copy(copying, std::move(hooks)),
-      reads(base, reading, store, owner.peers, this->copy, owner.make_hooks(this->name))
+namespace
+{
+
+std::string_view name_of(table which)
+{
+    return which == table::operator_rows ? "operator_rows" : "upstreams";
+}
+
+} // namespace
+
+store_view::followed_table::followed_table(store_view& owner, event_base* base,
+                                           follower_options reading,
+                                           const store_access& store,
+                                           mirror::mirror_options copying,
+                                           mirror::mirror_hooks hooks)
+    : which(reading.followed), copy(copying, std::move(hooks)),
+      reads(base, reading, store, owner.peers, this->copy, owner.make_hooks(this->which))
 {
 }
 
@@ -26,10 +37,9 @@
                        const store_access& store, peer_link& peers,
                        const fleet::membership& vms, store_view_hooks given_hooks)
     : options(given), peers(peers), vms(vms), hooks(std::move(given_hooks)),
-      operator_rows(*this, base, "operator_rows", {.followed = table::operator_rows},
-                    store, {.instance = this->options.instance},
-                    this->hooks.operator_rows),
-      upstreams(*this, base, "upstreams",
+      operator_rows(*this, base, {.followed = table::operator_rows}, store,
+                    {.instance = this->options.instance}, this->hooks.operator_rows),
+      upstreams(*this, base,
                 {.followed = table::upstreams,
                  .pace = this->options.registry_pace,
                  .wait = this->options.registry_wait},
@@ -40,31 +50,37 @@
 {
 }
 
-follower_hooks store_view::make_hooks(const std::string& name)
+follower_hooks store_view::make_hooks(table of)
 {
     return {.choose = [this] { return this->choose_source(monotonic_now()); },
             .lost =
-                [this, name](const error& problem) {
-                    this->hooks.log("store_lost",
-                                    {{"table", name}, {"problem", problem.message}});
-                },
+                [this, of](const error& problem)
+            {
+                this->hooks.log("store_lost",
+                                {{"table", name_of(of)}, {"problem", problem.message}});
+            },
             .regained =
-                [this, name] {
-                    this->hooks.log("store_regained", {{"table", name}});
+                [this, of] {
+                    this->hooks.log("store_regained", {{"table", name_of(of)}});
                 },
             .read =
-                [this, name](bool from_store, bool good, bool timed_out)
+                [this, of](const read_end& ended)
             {
-                this->hooks.read(name, from_store, good);
-                // The longer read of the operator's rows may hang for the same reason.
-                if (timed_out && name == this->upstreams.name)
-                    this->operator_rows.reads.restart();
-                if (from_store)
-                    this->store_tried = monotonic_now();
-                this->publish_changes();
+                this->finish_read(of, ended);
             }};
 }
 
+void store_view::finish_read(table of, const read_end& ended)
+{
+    this->hooks.read(name_of(of), ended);
+    // The longer read of the operator's rows may hang for the same reason.
+    if (ended.timed_out && of == table::upstreams)
+        this->operator_rows.reads.restart();
+    if (ended.from_store)
+        this->store_tried = monotonic_now();
+    this->publish_changes();
+}
+
 const mirror::table_mirror& store_view::copy(table which) const
 {
     return which == table::operator_rows ? this->operator_rows.copy
@@ -173,7 +189,7 @@
     return this->operator_rows.reads.hurry(*this->version_behind_since);
 }
 
-void store_view::note_newest_configuration()
+void store_view::note_configuration()
 {
     this->version_behind_since.reset();
 }
--- a/pistachiospan/event_log/event_log.cpp
+++ b/pistachiospan/event_log/event_log.cpp
@@ -95,6 +95,12 @@
 
 void event_log::write(time_point now, wall_time wall, std::string_view event,
                       const nlohmann::ordered_json& fields)
+{
+    this->write(now, wall, event, [&fields] { return fields; });
+}
+
+void event_log::write(time_point now, wall_time wall, std::string_view event,
+                      const std::function<nlohmann::ordered_json()>& make_fields)
 {
     auto found = this->budgets.find(event);
     if (found == this->budgets.end())
@@ -113,7 +119,7 @@
                                    {"event", event}};
     if (own.left_out > 0)
         line["left_out"] = std::exchange(own.left_out, 0);
-    line.update(fields);
+    line.update(make_fields());
     LOG4CPLUS_INFO(
         this->logger,
         line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
--- a/pistachiospan/event_log/event_log.hpp
+++ b/pistachiospan/event_log/event_log.hpp
@@ -33,6 +33,9 @@
 public:
     explicit event_log(log_options options);
 
+    // Makes the fields only if the line is written: most lines of an overload are not.
+    void write(time_point now, wall_time wall, std::string_view event,
+               const std::function<nlohmann::ordered_json()>& make_fields);
     void write(time_point now, wall_time wall, std::string_view event,
                const nlohmann::ordered_json& fields);
 
