Never cut off an unread answer to make room for a caller

Cause: a connection counts as idle from when its answer was made; at the limit of connections one whose caller reads slowly could be closed midway. Change: only a connection with nothing left to read or write makes room; the check is the one that the stop uses.

--- a/pistachiospan/http1/http1_test.cpp
+++ b/pistachiospan/http1/http1_test.cpp
@@ -409,3 +409,57 @@
         BOOST_TEST(server.connections() <= 3U);
     }
 }
+
+// Guards against an answer that is cut off midway to make room: its caller reads slowly,
+// so its connection counts as idle since the answer was made.
+BOOST_AUTO_TEST_CASE(unread_answers_are_not_cut_off_to_make_room)
+{
+    loop events;
+    http1::server* at = nullptr;
+    const std::string large(std::size_t{32} << 20U, 'x');
+    http1::server server(events.base.get(), server_address,
+                         {.received = [&](http1::exchange_id id, http1::request&&)
+                          {
+                              at->respond(id, {.status = 200, .body = large});
+                          }});
+    at = &server;
+    server.set_limits({.max_connections = 2});
+    const sockaddr_in to = http1::internal::parse_address(server_address);
+    const int slow = ::socket(AF_INET, SOCK_STREAM, 0);
+    BOOST_TEST_REQUIRE(
+        connect(slow, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) == 0);
+    const std::string_view asked = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+    ::send(slow, asked.data(), asked.size(), MSG_NOSIGNAL);
+    const auto wait = [&](duration span)
+    {
+        const time_point end = event_loop::monotonic_now() + span;
+        events.run([end] { return event_loop::monotonic_now() >= end; });
+    };
+    wait(700ms);
+    std::vector<std::unique_ptr<http1::client>> others;
+    for (int each = 0; each < 2; ++each)
+    {
+        others.push_back(
+            std::make_unique<http1::client>(events.base.get(), http1::client_options{}));
+        others.back()->send(server_address, get("7"), {.timeout = 1500ms},
+                            [](const http1::call_result&) {});
+        wait(700ms);
+    }
+    std::size_t received = 0;
+    bool ended = false;
+    std::vector<char> bytes(std::size_t{1} << 20U);
+    events.run(
+        [&]
+        {
+            ssize_t size = 0;
+            while (!ended &&
+                   (size = recv(slow, bytes.data(), bytes.size(), MSG_DONTWAIT)) >= 0)
+            {
+                received += static_cast<std::size_t>(size);
+                ended = size == 0;
+            }
+            return ended || errno != EAGAIN || received > large.size();
+        });
+    BOOST_TEST(received > large.size());
+    ::close(slow);
+}
--- a/pistachiospan/http1/server.cpp
+++ b/pistachiospan/http1/server.cpp
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <list>
 #include <system_error>
 #include <unordered_map>
@@ -142,6 +143,13 @@
         {
         }
 
+        // No byte waits to be read or written.
+        bool is_quiet() const
+        {
+            return evbuffer_get_length(bufferevent_get_input(this->socket.get())) == 0 &&
+                   evbuffer_get_length(bufferevent_get_output(this->socket.get())) == 0;
+        }
+
         implementation& owner;
         connection_id id;
         bufferevent_ptr socket;
@@ -246,10 +254,13 @@
 {
     if (!this->listener || this->open.size() < this->limits.max_connections)
         return;
-    if (!this->idle_order.empty() &&
-        monotonic_now() - this->idle_order.front()->idle_since >= least_idle)
+    const time_point latest = monotonic_now() - least_idle;
+    const auto found =
+        std::ranges::find_if(this->idle_order, [latest](const connection* each)
+                             { return each->idle_since > latest || each->is_quiet(); });
+    if (found != this->idle_order.end() && (*found)->idle_since <= latest)
     {
-        this->close(*this->idle_order.front());
+        this->close(**found);
         return;
     }
     evconnlistener_disable(this->listener.get());
@@ -460,12 +471,8 @@
     std::vector<connection*> idle;
     for (const auto& [id, each] : this->open)
     {
-        const bool unread =
-            evbuffer_get_length(bufferevent_get_input(each->socket.get())) != 0;
-        const bool unwritten =
-            evbuffer_get_length(bufferevent_get_output(each->socket.get())) != 0;
-        if (each->exchange == 0 && each->parser.state() == parse_state::idle && !unread &&
-            !unwritten)
+        if (each->exchange == 0 && each->parser.state() == parse_state::idle &&
+            each->is_quiet())
             idle.push_back(each.get());
     }
     for (connection* each : idle)
