Name no VM as backup whose process is not known yet

Ruled out: a move or view change in progress (no proposal was pending at any refusal).

Change: a backup, and the target of a move, must have a known incarnation. Test: a_vm_whose_process_is_unknown_is_no_backup fails before (64 of 64 keys refused).

--- a/pistachiospan/once/failure_test.cpp
+++ b/pistachiospan/once/failure_test.cpp
@@ -317,6 +317,23 @@
         BOOST_TEST(vms.ask(2, key).text() == "replay " + large.body);
 }
 
+// Guards against a backup that never acknowledges: VMs are live through others before
+// they are heard directly, and a view must not name a process that is not known yet.
+// While the store is down such a view could not be replaced, and its keys were refused.
+BOOST_AUTO_TEST_CASE(a_vm_whose_process_is_unknown_is_no_backup)
+{
+    fleet_options given = settings(3, 1);
+    given.incarnation_delay = 8s;
+    request_fleet vms(given);
+    vms.fault.store_down = true;
+    vms.run_for(5s);
+    for (int number = 0; number < 64; ++number)
+    {
+        const std::string key = "order-" + std::to_string(number);
+        BOOST_TEST(vms.ask(0, key).text() == "execute");
+    }
+}
+
 // Guards against many writes when the membership flaps.
 BOOST_AUTO_TEST_CASE(a_flapping_peer_costs_few_writes)
 {
--- a/pistachiospan/once/internal/test_support.hpp
+++ b/pistachiospan/once/internal/test_support.hpp
@@ -170,6 +170,8 @@
     duration tick = 20ms;
     duration suspect = 3s;
     bool drifting_clocks = false;
+    // A peer is live through other VMs this long before its incarnation is known.
+    duration incarnation_delay{0};
     options each; // times and bounds of each executor
 };
 
@@ -337,8 +339,10 @@
             }
             const bool live = self.heard.contains(other) &&
                               this->clock.now - self.heard[other] < this->opts.suspect;
+            const bool heard_directly =
+                this->clock.now.time_since_epoch() >= this->opts.incarnation_delay;
             known.push_back({.id = each.id,
-                             .started = self.heard_started[other],
+                             .started = heard_directly ? self.heard_started[other] : 0,
                              .data_centre = each.data_centre,
                              .region = each.region,
                              .live = live,
--- a/pistachiospan/once/internal/views.cpp
+++ b/pistachiospan/once/internal/views.cpp
@@ -152,7 +152,8 @@
     return rank;
 }
 
-// A VM in another data centre of this region, else in this one, else any other.
+// A VM in another data centre of this region, else in this one, else any other. Only one
+// whose process is known: a process acknowledges only what names it.
 member executor::engine::choose_backup(time_point now, std::size_t index,
                                        bool settled) const
 {
@@ -167,7 +168,7 @@
     for (const auto& [id, each] : this->others)
     {
         const bool fit = each.known.live && !each.known.leaving &&
-                         now >= each.excluded_until &&
+                         each.known.started != 0 && now >= each.excluded_until &&
                          (!settled || now - each.live_since >= settled_time);
         const member candidate{.id = id, .started = each.known.started};
         if (!fit || current.names(candidate))
@@ -198,7 +199,7 @@
         this->others.begin(), this->others.end(),
         [&](const auto& each)
         { return now - each.second.live_since >= this->opts.balance_interval; });
-    if (!stable || now < target.excluded_until)
+    if (!stable || target.known.started == 0 || now < target.excluded_until)
         return false;
     const std::size_t fair = shard_count / (this->others.size() + 1);
     if (this->primary_count() > fair + 2)
--- a/pistachiospan/once/once.hpp
+++ b/pistachiospan/once/once.hpp
@@ -74,7 +74,7 @@
 struct peer
 {
     vm_id id;
-    incarnation started = 0;
+    incarnation started = 0; // 0: not known yet
     std::string data_centre;
     std::string region;
     bool live = true;
