--- a/pistachiospan/configuration/configuration.hpp
+++ b/pistachiospan/configuration/configuration.hpp
@@ -88,6 +88,7 @@
     std::vector<account> accounts;
     std::vector<route> routes;
     configuration::limits limits;
+    std::vector<std::string> remarks; // what was not understood, for the log
 };
 
 class state
@@ -99,6 +100,10 @@
     {
         return this->all.version;
     }
+    const std::vector<std::string>& remarks() const
+    {
+        return this->all.remarks;
+    }
     const configuration::limits& limits() const
     {
         return this->all.limits;
--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -35,6 +35,9 @@
 // One in this many reports is whole.
 constexpr std::uint64_t whole_report = 6;
 
+// Reports name an upstream that is leaving for this long: several of them get lost.
+constexpr duration leaving_told = std::chrono::seconds(3);
+
 // A VM that has had no news of the operator for this long, or has just started, takes an
 // evacuation for one that has been in force for a while.
 constexpr duration old_news = std::chrono::seconds(3);
@@ -85,6 +88,8 @@
     void refuse(http1::exchange_id id, const gateway::refusal_answer& answer);
     void record(const gateway::record& made);
     fields fields_of(const gateway::record& made) const;
+    void note_upstream(const gateway::upstream_notice& said);
+    void learn_leaving(time_point now, std::span<const upstreams::upstream_start> told);
 
     void change_operator_row(const mirror::row& changed);
     void activate(const mirror::row& changed);
@@ -223,10 +228,11 @@
             },
             .refuse = [this](gateway::exchange_id id, const gateway::refusal_answer& why)
             { this->refuse(id, why); },
-            .report =
-                [this](const gateway::record& made)
+            .report = [this](const gateway::record& made) { this->record(made); },
+            .notice =
+                [this](const gateway::upstream_notice& said)
             {
-                this->record(made);
+                this->note_upstream(said);
             }};
 }
 
@@ -328,6 +334,30 @@
             {"detail", made.detail}};
 }
 
+void edge_daemon::implementation::note_upstream(const gateway::upstream_notice& said)
+{
+    if (said.pause)
+    {
+        this->numbers.count_pause();
+        this->log("upstream", {{"upstream", said.upstream.id},
+                               {"change", "paused"},
+                               {"pause_ms", milliseconds_of(*said.pause)}});
+    }
+    if (!said.leaving)
+        return;
+    this->log("upstream", {{"upstream", said.upstream.id}, {"change", "leaving"}});
+    // The registry may be late or away: the other VMs hear it from here.
+    this->send_report(monotonic_now());
+}
+
+void edge_daemon::implementation::learn_leaving(
+    time_point now, std::span<const upstreams::upstream_start> told)
+{
+    for (const upstreams::upstream_start& each : told)
+        if (this->known_upstreams.note_leaving(now, each))
+            this->log("upstream", {{"upstream", each.id}, {"change", "leaving, told"}});
+}
+
 void edge_daemon::implementation::change_operator_row(const mirror::row& changed)
 {
     if (this->words.is_configuration(changed.key))
@@ -355,6 +385,9 @@
                   {{"version", next->version()}, {"active", active->version()}});
         return;
     }
+    for (const std::string& remark : next->remarks())
+        this->log("configuration_remark",
+                  {{"version", next->version()}, {"remark", remark}});
     this->tables.note_configuration();
     this->requests.set_configuration(monotonic_now(), next);
     this->callers.set_limits({.max_header = next->limits().max_header,
@@ -467,7 +500,8 @@
         .registry_change = this->tables.copy(table::upstreams).newest_change(),
         .store_age = this->tables.store_age(now),
         .demand = this->allowances.report_demand(now, whole),
-        .services = this->known_upstreams.report_demand(now, whole)};
+        .services = this->known_upstreams.report_demand(now, whole),
+        .leaving = this->known_upstreams.leaving_since(now, leaving_told)};
     this->vms.set_self(own);
     this->vms.note_told(now);
     const std::vector<std::string> addresses = this->vms.peer_addresses();
@@ -487,6 +521,7 @@
     const std::string name = said.value().vm.value;
     const std::uint64_t version = said.value().configuration_version;
     const time_point now = monotonic_now();
+    this->learn_leaving(now, said.value().leaving);
     const fleet::membership::observation seen =
         this->vms.observe(now, std::move(said.value()));
     // All VMs reckon with the same figures at the same time.
--- a/pistachiospan/edge/internal/metrics.hpp
+++ b/pistachiospan/edge/internal/metrics.hpp
@@ -25,6 +25,8 @@
     void count(const gateway::record& made);
     // A read of a table of the store, at the store or at another VM.
     void count_read(std::string_view table, bool from_store, bool good);
+    // An upstream has asked for a pause.
+    void count_pause();
     void set(const std::string& name, double value);
 
     std::string render();
@@ -36,6 +38,7 @@
     prometheus::Family<prometheus::Counter>& requests;
     prometheus::Family<prometheus::Histogram>& latency;
     prometheus::Family<prometheus::Counter>& reads;
+    prometheus::Counter& pauses;
     prometheus::Family<prometheus::Gauge>& gauges;
     std::map<std::string, prometheus::Histogram*> by_route;
 };
--- a/pistachiospan/edge/metrics.cpp
+++ b/pistachiospan/edge/metrics.cpp
@@ -31,6 +31,11 @@
                 .Name("pistachiospan_table_reads_total")
                 .Help("Reads of the store's tables by table, source and outcome")
                 .Register(this->registry)),
+      pauses(prometheus::BuildCounter()
+                 .Name("pistachiospan_upstream_pauses_total")
+                 .Help("Refusals in which an upstream asked for no work for a while")
+                 .Register(this->registry)
+                 .Add({})),
       gauges(prometheus::BuildGauge()
                  .Name("pistachiospan_state")
                  .Help("Present state of the daemon by name")
@@ -69,6 +74,11 @@
         .Increment();
 }
 
+void metrics::count_pause()
+{
+    this->pauses.Increment();
+}
+
 void metrics::set(const std::string& name, double value)
 {
     this->gauges.Add({{"name", name}}).Set(value);
--- a/pistachiospan/fleet/fleet.cpp
+++ b/pistachiospan/fleet/fleet.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-constexpr std::size_t brief_fields = 10;
-constexpr std::size_t whole_fields = 13;
+constexpr std::size_t brief_fields = 11;
+constexpr std::size_t whole_fields = 14;
 
 // Bits of a report's state.
 constexpr unsigned ready_bit = 1;
@@ -67,6 +67,9 @@
     nlohmann::json services = nlohmann::json::object();
     for (const upstreams::service_demand& each : from.services)
         services[each.service] = {static_cast<float>(each.rate), each.bound};
+    nlohmann::json leaving = nlohmann::json::object();
+    for (const upstreams::upstream_start& each : from.leaving)
+        leaving[each.id] = each.started;
     const unsigned state =
         (from.ready ? ready_bit : 0U) | (from.draining ? draining_bit : 0U);
     const auto age = std::min(
@@ -80,7 +83,8 @@
                           from.registry_change,
                           age.count(),
                           std::move(demand),
-                          std::move(services)};
+                          std::move(services),
+                          std::move(leaving)};
     if (!from.brief)
     {
         all.push_back(from.data_centre);
@@ -118,11 +122,13 @@
                 {.service = service,
                  .rate = figures.at(0).get<double>(),
                  .bound = figures.at(1).get<std::map<std::string, double>>()});
+        for (const auto& [id, started] : all[10].items())
+            made.leaving.push_back({.id = id, .started = started.get<std::int64_t>()});
         if (made.brief)
             return made;
-        made.data_centre = all[10].get<std::string>();
-        made.peer_address = all[11].get<std::string>();
-        made.caller_address = all[12].get<std::string>();
+        made.data_centre = all[11].get<std::string>();
+        made.peer_address = all[12].get<std::string>();
+        made.caller_address = all[13].get<std::string>();
         return made;
     }
     catch (const nlohmann::json::exception& problem)
--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -47,6 +47,8 @@
     duration store_age = duration(0);
     std::vector<allowance::demand> demand;           // by client account
     std::vector<upstreams::service_demand> services; // by service
+    // Upstreams that have said in answers that they are leaving, of late.
+    std::vector<upstreams::upstream_start> leaving;
 };
 
 std::string encode(const report& from);
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -234,8 +234,7 @@
     of.call = 0;
     this->parts.upstreams.end(now, of.chosen, ending_of(ended), now - of.sent,
                               ended.load);
-    if (ended.cold_left)
-        this->parts.upstreams.note_cold(now, of.upstream, *ended.cold_left);
+    this->note(now, of, ended);
     if (of.caller_gone)
     {
         this->requests.erase(found);
@@ -278,6 +277,19 @@
     }
 }
 
+// Takes over what the upstream said of itself.
+void gateway::note(time_point now, const pending& of, const attempt_result& ended)
+{
+    if (ended.cold_left)
+        this->parts.upstreams.note_cold(now, of.upstream, *ended.cold_left);
+    if (ended.pause)
+        this->parts.upstreams.note_pause(now, of.upstream, *ended.pause);
+    const upstreams::upstream_start which{of.upstream, of.chosen.started};
+    const bool leaves = ended.leaving && this->parts.upstreams.note_leaving(now, which);
+    if (this->hooks.notice && (leaves || ended.pause))
+        this->hooks.notice({.upstream = which, .leaving = leaves, .pause = ended.pause});
+}
+
 // Sends the request to another upstream if route, time and budget allow it. Only for
 // requests that may run twice or have not run.
 bool gateway::retry(time_point now, exchange_id exchange, pending& of, bool not_run)
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -72,6 +72,16 @@
     std::string detail; // what broke
     std::optional<upstreams::load_report> load;
     std::optional<duration> cold_left;
+    bool leaving = false;          // the upstream says that it stops soon
+    std::optional<duration> pause; // the upstream asks for no work for so long
+};
+
+// What an upstream said of itself in an answer.
+struct upstream_notice
+{
+    upstreams::upstream_start upstream;
+    bool leaving = false;
+    std::optional<duration> pause;
 };
 
 // Why a request was refused or given up.
@@ -129,6 +139,7 @@
     std::function<void(exchange_id, std::any answer)> deliver;
     std::function<void(exchange_id, const refusal_answer&)> refuse;
     std::function<void(const record&)> report = nullptr;
+    std::function<void(const upstream_notice&)> notice = nullptr;
 };
 
 struct gateway_options
@@ -208,6 +219,7 @@
 
     bool admit(time_point now, exchange_id exchange, pending& made);
     void dispatch(time_point now, exchange_id exchange, pending& of);
+    void note(time_point now, const pending& of, const attempt_result& ended);
     bool retry(time_point now, exchange_id exchange, pending& of, bool not_run);
     void deliver(time_point now, exchange_id exchange, pending& of,
                  attempt_result& ended);
--- a/pistachiospan/gateway/gateway_test.cpp
+++ b/pistachiospan/gateway/gateway_test.cpp
@@ -31,10 +31,12 @@
                { this->delivered.push_back(std::any_cast<int>(answer)); },
                .refuse = [this](gateway::exchange_id, const gateway::refusal_answer& why)
                { this->refused.push_back(why); },
-               .report =
-                   [this](const gateway::record& made)
+               .report = [this](const gateway::record& made)
+               { this->records.push_back(made); },
+               .notice =
+                   [this](const gateway::upstream_notice& said)
                {
-                   this->records.push_back(made);
+                   this->notices.push_back(said);
                }})
     {
         for (const char* id : {"u1", "u2"})
@@ -91,6 +93,7 @@
     std::vector<int> delivered;
     std::vector<gateway::refusal_answer> refused;
     std::vector<gateway::record> records;
+    std::vector<gateway::upstream_notice> notices;
     upstreams::upstream_set known;
     allowance::ledger allowances;
     gateway::gateway requests;
@@ -288,3 +291,40 @@
     BOOST_TEST((refused.front().reason == refusal::no_configuration));
     BOOST_TEST(!refused.front().may_have_run);
 }
+
+// Guards against further work for an upstream whose answer says that it is leaving. The
+// answer itself is delivered.
+BOOST_AUTO_TEST_CASE(leaving_upstream_gets_no_further_request)
+{
+    world all;
+    all.ask(1, "/read/1");
+    const std::string leaving = all.sent.front().upstream;
+    all.requests.finish_attempt(
+        start + 10ms, 1, 1,
+        {.end = attempt_end::answered, .status = 200, .answer = 200, .leaving = true});
+    BOOST_TEST(all.delivered.size() == 1U);
+    BOOST_TEST_REQUIRE(all.notices.size() == 1U);
+    BOOST_TEST(all.notices.front().leaving);
+    for (gateway::exchange_id id = 2; id < 10; ++id)
+    {
+        all.ask(id, "/read/1");
+        BOOST_TEST(all.sent.back().upstream != leaving);
+    }
+}
+
+// Guards against work for an upstream that refuses and asks for a pause: the request goes
+// to another one, and so do those after it.
+BOOST_AUTO_TEST_CASE(paused_upstream_is_left_alone)
+{
+    world all;
+    all.ask(1, "/order/1");
+    const std::string paused = all.sent.front().upstream;
+    all.requests.finish_attempt(
+        start + 10ms, 1, 1, {.end = attempt_end::not_run, .status = 503, .pause = 2s});
+    BOOST_TEST_REQUIRE(all.sent.size() == 2U);
+    BOOST_TEST(all.sent.back().upstream != paused);
+    BOOST_TEST_REQUIRE(all.notices.size() == 1U);
+    BOOST_TEST((all.notices.front().pause == 2s));
+    all.ask(2, "/order/1");
+    BOOST_TEST(all.sent.back().upstream != paused);
+}
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -133,6 +133,7 @@
             made->region = place->second;
         made->hash = hash_bytes(said.id);
         made->last_answer = now;
+        made->said_leaving = this->leaving.contains({said.id, said.started});
         this->make_cold(now, *made, said.cold_left);
         this->groups[said.service].members.push_back(made.get());
         this->all.emplace(said.id, std::move(made));
@@ -144,9 +145,8 @@
         // The same upstream started again: it knows nothing and is cold.
         const service_group& group = this->groups[said.service];
         this->make_cold(now, *known, std::max(said.cold_left, group.cold_time));
-        known->ejected_until = now;
-        known->ejections = 0;
-        known->failures = 0;
+        known->availability = {};
+        known->said_leaving = this->leaving.contains({said.id, said.started});
         known->others = 0;
         known->slowness = 1;
         known->objects.clear();
@@ -328,7 +328,7 @@
 bool upstream_set::usable(time_point now, const upstream& of, const query& wanted,
                           std::uint64_t object_hash) const
 {
-    if (of.said.draining || now < of.ejected_until)
+    if (of.is_leaving() || !of.availability.takes_work(now, of.in_flight))
         return false;
     if (!this->in_homes(of, wanted.homes) || !this->in_homes(of, wanted.more_homes))
         return false;
@@ -345,7 +345,7 @@
 {
     std::map<std::string, double> slots;
     for (const upstream* each : group.members)
-        if (!each->said.draining && this->where.contains(each->said.data_centre))
+        if (!each->is_leaving() && this->where.contains(each->said.data_centre))
             slots[each->said.data_centre] +=
                 this->presence(now, each->said.data_centre) * slots_at(each->said.slots);
     return slots;
@@ -512,8 +512,7 @@
                                   .score = score_of(object, each->hash, each->said.slots),
                                   .knows = each->objects.contains(object)});
     if (candidates.empty())
-        return {.failure = selection_failure::no_upstream,
-                .retry_after = no_upstream_retry};
+        return this->nothing_usable(now, group);
     std::ranges::sort(candidates,
                       [](const candidate& left, const candidate& right)
                       {
@@ -549,6 +548,7 @@
         best->at->cold_tokens -= 1;
     return {.found = true,
             .id = best->at->said.id,
+            .started = best->at->said.started,
             .address = best->at->said.address,
             .expected = expected,
             .wait = to_duration(best->wait),
@@ -568,13 +568,18 @@
     at->objects.add(chosen.object, this->options.known_objects);
 }
 
-void upstream_set::eject(time_point now, upstream& of)
+// When all upstreams have asked for a pause, the end of the first one is known.
+selection upstream_set::nothing_usable(time_point now, const service_group& group) const
 {
-    const duration span = std::min(this->options.first_ejection * (1U << of.ejections),
-                                   this->options.longest_ejection);
-    of.ejections = std::min(of.ejections + 1, 8U);
-    of.ejected_until = now + span;
-    of.failures = 0;
+    selection made{.failure = selection_failure::no_upstream,
+                   .retry_after = no_upstream_retry};
+    duration shortest = duration::max();
+    for (const upstream* each : group.members)
+        if (!each->is_leaving())
+            shortest = std::min(shortest, each->availability.pause_left(now));
+    if (shortest > duration(0) && shortest < duration::max())
+        made.retry_after = shortest;
+    return made;
 }
 
 // Takes the time of an answer into the averages. The service's own come only from
@@ -626,22 +631,19 @@
     case ending::answered:
         this->learn(now, *at, chosen, latency);
         at->last_answer = now;
-        at->failures = 0;
-        at->ejections = 0;
+        at->availability.note_answer(now);
         break;
     case ending::silent:
-        if (++at->failures >= this->options.failures_before_ejection)
-            this->eject(now, *at);
+        at->availability.note_failure(now, this->options.availability);
         break;
     case ending::failed:
     case ending::broken:
         at->last_answer = now;
-        if (++at->failures >= this->options.failures_before_ejection)
-            this->eject(now, *at);
+        at->availability.note_failure(now, this->options.availability);
         break;
     case ending::not_sent:
     case ending::misdirected:
-        this->eject(now, *at);
+        at->availability.eject(now, this->options.availability);
         break;
     case ending::shed:
         at->last_answer = now;
@@ -660,6 +662,33 @@
         this->make_cold(now, *at, cold_left);
 }
 
+void upstream_set::note_pause(time_point now, std::string_view id, duration span)
+{
+    if (upstream* at = this->find(id))
+        at->availability.pause(now, span, this->options.availability);
+}
+
+bool upstream_set::note_leaving(time_point now, const upstream_start& which)
+{
+    std::erase_if(this->leaving, [this, now](const auto& each)
+                  { return now - each.second > this->options.leaving_memory; });
+    const bool news = this->leaving.emplace(which, now).second;
+    upstream* at = this->find(which.id);
+    if (at != nullptr && at->said.started == which.started)
+        at->said_leaving = true;
+    return news;
+}
+
+std::vector<upstream_start> upstream_set::leaving_since(time_point now,
+                                                        duration age) const
+{
+    std::vector<upstream_start> recent;
+    for (const auto& [which, since] : this->leaving)
+        if (now - since < age)
+            recent.push_back(which);
+    return recent;
+}
+
 std::size_t upstream_set::size() const
 {
     return this->all.size();
@@ -673,8 +702,9 @@
                          .service = each->said.service,
                          .in_flight = each->in_flight,
                          .load = this->load_of(now, *each),
-                         .draining = each->said.draining,
-                         .ejected = now < each->ejected_until,
+                         .draining = each->is_leaving(),
+                         .ejected = each->availability.is_ejected(now),
+                         .paused = each->availability.pause_left(now) > duration(0),
                          .cold = now < each->cold_until,
                          .slowness = this->slowness_of(now, *each)});
     return views;
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -20,6 +20,7 @@
 #define PISTACHIOSPAN_UPSTREAMS_UPSTREAMS_HPP
 
 #include "pistachiospan/configuration/configuration.hpp"
+#include "pistachiospan/upstreams/internal/availability.hpp"
 
 #include <deque>
 #include <list>
@@ -106,9 +107,15 @@
     // returned one gets them.
     duration evacuation_ramp = std::chrono::milliseconds(2500);
     duration return_ramp = std::chrono::seconds(6);
-    duration first_ejection = std::chrono::milliseconds(700); // doubles up to the longest
-    duration longest_ejection = std::chrono::seconds(6);
-    std::uint32_t failures_before_ejection = 3; // answers that report a failure, in a row
+    internal::availability_options availability = {
+        .first_ejection = std::chrono::milliseconds(700),
+        .longest_ejection = std::chrono::seconds(6),
+        .failures_before_ejection = 3,
+        // A wrong value must not take an upstream out for the rest of the day.
+        .longest_pause = std::chrono::minutes(5)};
+    // How long it is remembered that an upstream is leaving, which the registry may not
+    // say yet, or say no more.
+    duration leaving_memory = std::chrono::minutes(5);
     // Silence after which an upstream with requests is passed over.
     duration stall = std::chrono::milliseconds(450);
     // Part of the fleet's rate for a cold upstream that this VM uses at most.
@@ -140,6 +147,7 @@
 {
     bool found = false;
     std::string id;
+    std::int64_t started = 0;
     std::string address;
     duration expected{0}; // completion, from now
     duration wait{0};     // part of it: for a slot
@@ -152,6 +160,14 @@
     duration retry_after{0}; // not found: when room is expected
 };
 
+// One start of an upstream.
+struct upstream_start
+{
+    std::string id;
+    std::int64_t started = 0;
+    auto operator<=>(const upstream_start&) const = default;
+};
+
 // For metrics and logs.
 struct upstream_view
 {
@@ -161,6 +177,7 @@
     double load = 0;
     bool draining = false;
     bool ejected = false;
+    bool paused = false; // it asked for no work
     bool cold = false;
     double slowness = 1; // work relative to the service's mean
 };
@@ -213,6 +230,13 @@
     void end(time_point now, const selection& chosen, ending how, duration latency,
              std::optional<load_report> report);
     void note_cold(time_point now, std::string_view id, duration cold_left);
+    // The upstream asked for no work from this VM during `span`.
+    void note_pause(time_point now, std::string_view id, duration span);
+    // The upstream, or another VM, says that it is leaving: it gets no new work until it
+    // has started again. Returns true if that is news.
+    bool note_leaving(time_point now, const upstream_start& which);
+    // Those known to be leaving for less than `age`, for the other VMs.
+    std::vector<upstream_start> leaving_since(time_point now, duration age) const;
 
     std::size_t size() const;
     std::vector<upstream_view> views(time_point now) const;
@@ -246,9 +270,13 @@
         double slowness = 1; // work relative to the mean of the service
         time_point sampled;
         object_memory objects;
-        std::uint32_t failures = 0;  // in a row
-        std::uint32_t ejections = 0; // in a row
-        time_point ejected_until;
+        internal::availability availability;
+        bool said_leaving = false; // in an answer, to this VM or another one
+
+        bool is_leaving() const
+        {
+            return this->said.draining || this->said_leaving;
+        }
         time_point cold_until;
         double cold_tokens = 1;
         time_point cold_refilled;
@@ -317,7 +345,7 @@
     int distance_to(std::string_view data_centre, std::string_view region) const;
     bool in_homes(const upstream& of, std::span<const std::string> homes) const;
     void learn(time_point now, upstream& at, const selection& chosen, duration latency);
-    void eject(time_point now, upstream& of);
+    selection nothing_usable(time_point now, const service_group& group) const;
     void make_cold(time_point now, upstream& of, duration left) const;
 
     set_options options;
@@ -327,6 +355,7 @@
     std::unordered_map<std::string, std::unique_ptr<upstream>> all;
     std::unordered_map<std::string, service_group> groups;
     std::map<std::string, evacuation> evacuated;
+    std::map<upstream_start, time_point> leaving; // since when it is known
     std::uint64_t spread = 0; // numbers the requests without an object
 };
 
--- a/pistachiospan/upstreams/upstreams_test.cpp
+++ b/pistachiospan/upstreams/upstreams_test.cpp
@@ -186,6 +186,99 @@
     BOOST_TEST(known.select(start + 2s, query_of("7")).id == first.id);
 }
 
+// Pattern: an overloaded upstream asks for a pause. Guards against requests during the
+// pause, and against a rush at its end: one request goes first, then twice as many after
+// each answer.
+BOOST_AUTO_TEST_CASE(paused_upstream_returns_gradually)
+{
+    upstreams::upstream_set known = make_set();
+    const upstreams::selection first = known.select(start, query_of("7"));
+    known.begin(start, first);
+    known.note_pause(start, first.id, 4s);
+    // An answer to a request from before the pause does not end it.
+    known.end(start, first, upstreams::ending::answered, 100ms, std::nullopt);
+    for (const duration passed : {0ms, 600ms, 3900ms})
+        BOOST_TEST(known.select(start + passed, query_of("7")).id != first.id);
+    const time_point over = start + 4s;
+    const upstreams::selection probe = known.select(over, query_of("7"));
+    BOOST_TEST(probe.id == first.id);
+    known.begin(over, probe);
+    BOOST_TEST(known.select(over, query_of("7")).id != first.id);
+    known.end(over, probe, upstreams::ending::answered, 100ms, std::nullopt);
+    for (int sent = 0; sent < 2; ++sent)
+    {
+        const upstreams::selection next = known.select(over, query_of("7"));
+        BOOST_TEST(next.id == first.id);
+        known.begin(over, next);
+    }
+    BOOST_TEST(known.select(over, query_of("7")).id != first.id);
+}
+
+// Pattern: all upstreams of a service have asked for a pause. The caller is refused at
+// once and told when the first of them is back.
+BOOST_AUTO_TEST_CASE(service_in_pause_refuses_with_its_end)
+{
+    upstreams::upstream_set known({.data_centre = "n1"}, six);
+    known.update(start, entry_of("n1a", "n1"));
+    known.update(start, entry_of("n1b", "n1"));
+    known.note_pause(start, "n1a", 3s);
+    BOOST_TEST(known.select(start, query_of("7")).id == "n1b");
+    known.note_pause(start, "n1b", 2s);
+    const upstreams::selection none = known.select(start + 500ms, query_of("7"));
+    BOOST_TEST(!none.found);
+    BOOST_TEST((none.retry_after == 1500ms));
+}
+
+// Guards against a pause of an absurd length that takes an upstream out for good.
+BOOST_AUTO_TEST_CASE(pause_has_a_bound)
+{
+    upstreams::upstream_set known({.data_centre = "n1"}, six);
+    known.update(start, entry_of("n1a", "n1"));
+    known.note_pause(start, "n1a", 24h);
+    BOOST_TEST(!known.select(start + 60s, query_of("7")).found);
+    BOOST_TEST(known.select(start + 6min, query_of("7")).found);
+}
+
+// Guards against work for an upstream that has said in an answer that it is leaving while
+// the registry still calls it ready, also after its entry has lapsed and is back. It is
+// used again after it has started again.
+BOOST_AUTO_TEST_CASE(upstream_that_says_it_leaves_gets_nothing)
+{
+    upstreams::upstream_set known({.data_centre = "n1"}, six);
+    upstreams::entry entry = entry_of("n1a", "n1");
+    entry.started = 5;
+    known.update(start, entry);
+    BOOST_TEST(known.note_leaving(start, {"n1a", 5}));
+    BOOST_TEST(!known.note_leaving(start, {"n1a", 5}));
+    BOOST_TEST(!known.select(start, query_of("7")).found);
+    known.update(start + 1s, entry);
+    BOOST_TEST(!known.select(start + 1s, query_of("7")).found);
+    known.remove("n1a");
+    known.update(start + 5s, entry);
+    BOOST_TEST(!known.select(start + 5s, query_of("7")).found);
+    entry.started = 6;
+    known.update(start + 10s, entry);
+    BOOST_TEST(known.select(start + 10s, query_of("7")).found);
+}
+
+// Guards against a mark that another VM's report brings before the registry's entry, and
+// against one that outlives the process that it concerns.
+BOOST_AUTO_TEST_CASE(leaving_mark_concerns_one_process)
+{
+    upstreams::upstream_set known({.data_centre = "n1"}, six);
+    known.note_leaving(start, {"n1a", 5});
+    upstreams::entry entry = entry_of("n1a", "n1");
+    entry.started = 5;
+    known.update(start, entry);
+    BOOST_TEST(!known.select(start, query_of("7")).found);
+    BOOST_TEST(known.leaving_since(start + 1s, 3s).size() == 1U);
+    BOOST_TEST(known.leaving_since(start + 4s, 3s).empty());
+    entry.started = 6;
+    known.update(start, entry);
+    known.note_leaving(start, {"n1a", 4});
+    BOOST_TEST(known.select(start, query_of("7")).found);
+}
+
 // Guards against requests that pile up at an upstream that has stopped answering.
 BOOST_AUTO_TEST_CASE(silent_upstream_is_passed_over)
 {
