Let one VM of each data centre speak for it to the others

Change: a coordinator in each data centre (cell), found through one conditional row of the store, gathers the reports of its members, exchanges one report with each other data centre (fleet) and sends its members a digest (fleet_node). It admits for all VMs of the data centre, which ask it for a token of each request; an account whose burst would be a few tokens a data centre is held whole by one of them (allowance: pool, authority, requester). A VM without an answer uses what was set aside for it. Plans come from the coordinator. The registration of every VM in the store is gone. fleet_node holds no sockets, so hundreds of VMs are played in its tests.

Ruled out: a mesh with longer intervals (grows with the square), gossip (age of news grows with its depth, and rates need the same figures at the same time), the tree of 'member' (needs a start token and levels for 17 data centres of 42 VMs, where two levels do).

The model found that VMs which are cut off alone used the limits of the whole fleet; parts of VMs that are not heard are now set aside.

--- a/pistachiospan/allowance/allowance.cpp
+++ b/pistachiospan/allowance/ledger.cpp
@@ -58,9 +58,18 @@
     this->buckets = std::move(next);
 }
 
-void ledger::set_vm_count(std::size_t count)
+void ledger::set_sharing_count(std::size_t count)
 {
-    this->vm_count = std::max<std::size_t>(count, 1);
+    this->sharing_count = std::max<std::size_t>(count, 1);
+}
+
+void ledger::set_heard_part(time_point now, double part)
+{
+    if (part == this->heard_part)
+        return;
+    for (auto& [name, each] : this->buckets)
+        this->refill(now, each);
+    this->heard_part = part;
 }
 
 void ledger::set_remote(time_point now, std::string_view account, remote_share others)
@@ -82,16 +91,21 @@
     sum = std::max(0.0, sum + change.rate);
 }
 
-double ledger::part(const bucket& of) const
+double ledger::whole_part(const bucket& of) const
 {
     const double least = of.rate * this->options.least_demand;
     const double own = of.told + least;
     const double others =
-        of.others.demand + least * static_cast<double>(this->vm_count - 1);
+        of.others.demand + least * static_cast<double>(this->sharing_count - 1);
     const double free = std::max(0.0, 1 - of.others.reserved);
     return free * own / (own + others);
 }
 
+double ledger::part(const bucket& of) const
+{
+    return this->heard_part * this->whole_part(of);
+}
+
 double ledger::capacity(const bucket& of) const
 {
     return std::max(of.burst * this->part(of), this->options.least_capacity);
@@ -127,7 +141,7 @@
         of.tokens -= 1;
         return {.admitted = true};
     }
-    // A VM whose part is nothing waits for the others to be heard again.
+    // A data centre whose part is nothing waits for the others to be heard again.
     const double own = this->part(of);
     const double rate = std::max(of.rate * own, least_reported);
     return {.retry_after = from_seconds((1 - of.tokens) / rate), .part = own};
@@ -174,4 +188,10 @@
     return found == this->buckets.end() ? 1.0 : this->part(found->second);
 }
 
+double ledger::whole_part_of(std::string_view account) const
+{
+    const auto found = this->buckets.find(std::string(account));
+    return found == this->buckets.end() ? 1.0 : this->whole_part(found->second);
+}
+
 } // namespace pistachiospan::allowance
--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -28,22 +28,21 @@
 constexpr duration exit_margin = std::chrono::milliseconds(400);
 constexpr duration exit_check = std::chrono::milliseconds(50);
 
-constexpr duration read_vms_interval = std::chrono::seconds(60);
+// Queries for tokens are looked at this often.
+constexpr duration token_interval = std::chrono::milliseconds(20);
 
 // Whom to follow, and who is overdue, is looked at this often.
 constexpr duration peer_check_interval = std::chrono::milliseconds(250);
-// One in this many reports is whole.
-constexpr std::uint64_t whole_report = 6;
-
 // Reports name an upstream that is leaving for this long: several of them get lost.
 constexpr duration leaving_told = std::chrono::seconds(3);
 
+// Older copies are told as this old.
+constexpr duration oldest_news = std::chrono::minutes(1);
+
 // A VM that has had no news of the operator for this long, or has just started, takes an
 // evacuation for one that has been in force for a while.
 constexpr duration old_news = std::chrono::seconds(3);
 
-constexpr duration register_retry = std::chrono::seconds(1);
-
 // Descriptors kept for everything but callers' connections.
 constexpr std::size_t reserved_descriptors = 900;
 // Part of the memory for bodies that wait for their answer.
@@ -82,6 +81,7 @@
 private:
     gateway::gateway_hooks make_gateway_hooks();
     internal::store_view_hooks make_store_hooks();
+    fleet_node::node_hooks make_fleet_hooks();
 
     void take_request(http1::exchange_id id, http1::request&& incoming);
     gateway::call_id send(const gateway::attempt& to);
@@ -101,12 +101,9 @@
 
     void tick();
     void check_peers();
-    void send_report(time_point now);
-    void receive_report(std::string_view datagram);
-    void share_demand(time_point now);
-    void read_vms();
-    void register_self();
-    void apply_vm_count();
+    void note_version(time_point now, const vm_id& peer, std::uint64_t version);
+    fleet_node::own_state state_of_self(time_point now) const;
+    void check_tokens();
 
     void answer_directory(http1::exchange_id id, const http1::request& asked);
     void answer_readiness(http1::exchange_id id, const http1::request& asked);
@@ -123,8 +120,6 @@
     event_log::event_log events;
     internal::metrics numbers;
     upstreams::upstream_set known_upstreams;
-    allowance::ledger allowances;
-    fleet::membership vms;
     gateway::gateway requests;
     http1::client upstream_client;
     std::unordered_map<http1::exchange_id, http1::request> exchanges; // unanswered
@@ -134,17 +129,16 @@
     std::unique_ptr<http1::server> readiness;
     std::unique_ptr<http1::server> metrics;
     internal::peer_link peers;
+    fleet_node::node vms;
     internal::store_view tables;
     periodic_timer ticker;
     periodic_timer peer_checker;
-    one_shot_timer vm_reader;
-    one_shot_timer registrar;
+    one_shot_timer token_timer; // while answers about tokens are awaited
+    one_shot_timer first_check;
     one_shot_timer exit_timer;
-    std::uint64_t report_sequence = 0;
     std::uint64_t answers = 0;
     bool stopping = false;
     bool accepting = true;
-    bool newcomer = true; // a VM needs this one's whole report
     time_point stop_begun;
 };
 
@@ -156,12 +150,9 @@
       known_upstreams({.seed = hash_bytes(this->options.vm.value),
                        .data_centre = this->options.data_centre},
                       this->options.places),
-      allowances({}), vms({.self = this->options.vm,
-                           .data_centre = this->options.data_centre,
-                           .regions = this->options.places}),
       requests({.retry_ratio = this->options.retry_ratio,
                 .retry_reserve = this->options.retry_reserve},
-               {this->known_upstreams, this->allowances}, this->make_gateway_hooks()),
+               this->known_upstreams, this->make_gateway_hooks()),
       upstream_client(base, {.correlation_header = this->words.correlation_header}),
       callers(base, this->options.callers,
               {.received = [this](http1::exchange_id id, http1::request&& incoming)
@@ -173,19 +164,35 @@
                    this->exchanges.erase(id);
                }}),
       peers(base, this->options.peers,
-            {.received = [this](std::string_view bytes) { this->receive_report(bytes); },
+            {.received = [this](const std::string& from, std::string_view bytes)
+             { this->vms.receive(monotonic_now(), from, bytes); },
              .copy = [this](table wanted) -> const mirror::table_mirror&
              {
                  return this->tables.copy(wanted);
              }}),
+      vms(monotonic_now(),
+          {.vm = this->options.vm,
+           .started = this->started,
+           .data_centre = this->options.data_centre,
+           .places = this->options.places,
+           .peers = this->options.peers,
+           .callers = this->options.callers,
+           .capacity = this->options.capacity},
+          this->make_fleet_hooks()),
       tables(base, {.instance = this->started}, this->store, this->peers, this->vms,
              this->make_store_hooks()),
       ticker(base, this->options.report_interval, [this] { this->tick(); }),
       peer_checker(base, peer_check_interval, [this] { this->check_peers(); }),
-      vm_reader(base, [this] { this->read_vms(); }),
-      registrar(base, [this] { this->register_self(); }),
+      token_timer(base,
+                  [this]
+                  {
+                      this->vms.tick_tokens(monotonic_now());
+                      this->check_tokens();
+                  }),
+      first_check(base, [this] { this->check_peers(); }),
       exit_timer(base, [this] { this->finish_when_idle(); })
 {
+    this->first_check.start(this->vms.next_check(monotonic_now()));
     const auto serve = [this](const std::string& address, auto answer)
     {
         if (address.empty())
@@ -201,10 +208,6 @@
     this->directory = serve(this->options.directory, &implementation::answer_directory);
     this->readiness = serve(this->options.readiness, &implementation::answer_readiness);
     this->metrics = serve(this->options.metrics, &implementation::answer_metrics);
-    this->vms.set_self({.vm = this->options.vm,
-                        .data_centre = this->options.data_centre,
-                        .caller_address = this->options.callers});
-    this->registrar.start(duration(0));
     this->log("started", {{"data_centre", this->options.data_centre},
                           {"callers", this->options.callers},
                           {"peers", this->options.peers}});
@@ -217,7 +220,15 @@
 
 gateway::gateway_hooks edge_daemon::implementation::make_gateway_hooks()
 {
-    return {.send = [this](const gateway::attempt& to) { return this->send(to); },
+    return {.ask_token =
+                [this](gateway::exchange_id id, const std::string& account)
+            {
+                this->vms.ask_token(monotonic_now(), id, account);
+                this->check_tokens();
+            },
+            .return_token = [this](const std::string& account)
+            { this->vms.return_token(monotonic_now(), account); },
+            .send = [this](const gateway::attempt& to) { return this->send(to); },
             .cancel = [this](gateway::call_id call)
             { this->upstream_client.cancel(call); },
             .deliver =
@@ -347,15 +358,84 @@
         return;
     this->log("upstream", {{"upstream", said.upstream.id}, {"change", "leaving"}});
     // The registry may be late or away: the other VMs hear it from here.
-    this->send_report(monotonic_now());
+    this->vms.tell(monotonic_now());
 }
 
 void edge_daemon::implementation::learn_leaving(
     time_point now, std::span<const upstreams::upstream_start> told)
 {
+    bool news = false;
     for (const upstreams::upstream_start& each : told)
         if (this->known_upstreams.note_leaving(now, each))
+        {
             this->log("upstream", {{"upstream", each.id}, {"change", "leaving, told"}});
+            news = true;
+        }
+    if (news && this->vms.role() == cell::role::coordinator)
+        this->vms.tell(now);
+}
+
+fleet_node::own_state edge_daemon::implementation::state_of_self(time_point now) const
+{
+    const configuration::state* active = this->requests.active();
+    return {.ready = this->ready(),
+            .draining = this->stopping,
+            .configuration_version = active == nullptr ? 0 : active->version(),
+            .operator_change = this->tables.copy(table::operator_rows).newest_change(),
+            .registry_change = this->tables.copy(table::upstreams).newest_change(),
+            .store_age = this->tables.store_age(now),
+            .news_age = std::min(this->tables.news_age(now), oldest_news),
+            .leaving = this->known_upstreams.leaving_since(now, leaving_told)};
+}
+
+fleet_node::node_hooks edge_daemon::implementation::make_fleet_hooks()
+{
+    return {
+        .send = [this](std::string_view datagram, std::span<const std::string> addresses)
+        { this->peers.send(datagram, addresses); },
+        .claim =
+            [this](const cell::claim& due)
+        {
+            this->store.claim(due, [this](const result<cell::claim_outcome>& got)
+                              { this->vms.finish_claim(monotonic_now(), got); });
+        },
+        .read_coordinators =
+            [this]
+        {
+            this->store.read_coordinators(
+                [this](const result<std::map<std::string, std::string>>& all)
+                { this->vms.finish_reading(monotonic_now(), all); });
+        },
+        .state = [this](time_point now) { return this->state_of_self(now); },
+        .services = [this](time_point now)
+        { return this->known_upstreams.report_demand(now); },
+        .demand_told =
+            [this](time_point now, fleet_node::remote_demands demand)
+        {
+            this->known_upstreams.set_remote_demand(std::move(demand));
+            this->known_upstreams.tick(now);
+        },
+        .plans = [this](time_point) { return this->known_upstreams.plans(); },
+        .plans_told = [this](time_point now, const upstreams::plan_set& told)
+        { this->known_upstreams.adopt_plans(now, told); },
+        .leaving_told =
+            [this](time_point now, std::span<const upstreams::upstream_start> told)
+        { this->learn_leaving(now, told); },
+        .version_told = [this](time_point now, const vm_id& peer, std::uint64_t version)
+        { this->note_version(now, peer, version); },
+        .vm_count_changed =
+            [this](std::size_t count)
+        {
+            this->known_upstreams.set_vm_count(count);
+            this->requests.set_vm_count(count);
+        },
+        .token_done = [this](allowance::ticket id, const allowance::admission& made)
+        { this->requests.finish_admission(monotonic_now(), id, made); },
+        .log =
+            [this](std::string_view event, const fields& content)
+        {
+            this->log(event, content);
+        }};
 }
 
 void edge_daemon::implementation::change_operator_row(const mirror::row& changed)
@@ -389,7 +469,8 @@
         this->log("configuration_remark",
                   {{"version", next->version()}, {"remark", remark}});
     this->tables.note_configuration();
-    this->requests.set_configuration(monotonic_now(), next);
+    this->requests.set_configuration(next);
+    this->vms.set_accounts(monotonic_now(), next->accounts());
     this->callers.set_limits({.max_header = next->limits().max_header,
                               .max_body = next->limits().max_body,
                               .max_buffered = this->options.memory / body_memory_divisor,
@@ -430,7 +511,7 @@
     if (!this->tables.copy(table::operator_rows).loaded())
         return true;
     return operator_change > 0 &&
-           this->vms.best_informed(now, operator_change - 1, UINT64_MAX) != nullptr;
+           this->vms.best_informed(now, operator_change - 1, UINT64_MAX).has_value();
 }
 
 void edge_daemon::implementation::change_upstream(const mirror::row& changed)
@@ -465,139 +546,31 @@
 {
     const time_point now = monotonic_now();
     this->tables.tick(now);
-    for (const vm_id& silent : this->vms.expire(now))
-        this->log("vm_lost", {{"peer", silent.value}});
-    this->share_demand(now);
-    this->send_report(now);
+    this->vms.tick(now);
 }
 
 void edge_daemon::implementation::check_peers()
 {
     const time_point now = monotonic_now();
+    this->vms.check(now);
     this->tables.check(now);
-    if (this->vms.reserve_overdue(now))
-        this->share_demand(now);
 }
 
-void edge_daemon::implementation::send_report(time_point now)
+void edge_daemon::implementation::note_version(time_point now, const vm_id& peer,
+                                               std::uint64_t version)
 {
-    const configuration::state* active = this->requests.active();
-    const bool whole =
-        this->stopping || this->newcomer || this->report_sequence % whole_report == 0;
-    this->newcomer = false;
-    fleet::report own{
-        .brief = !whole,
-        .vm = this->options.vm,
-        .started = this->started,
-        .sequence = ++this->report_sequence,
-        .data_centre = this->options.data_centre,
-        .peer_address = this->options.peers,
-        .caller_address = this->options.callers,
-        .ready = this->ready(),
-        .draining = this->stopping,
-        .configuration_version = active == nullptr ? 0 : active->version(),
-        .operator_change = this->tables.copy(table::operator_rows).newest_change(),
-        .registry_change = this->tables.copy(table::upstreams).newest_change(),
-        .store_age = this->tables.store_age(now),
-        .demand = this->allowances.report_demand(now, whole),
-        .services = this->known_upstreams.report_demand(now, whole),
-        .leaving = this->known_upstreams.leaving_since(now, leaving_told)};
-    this->vms.set_self(own);
-    this->vms.note_told(now);
-    const std::vector<std::string> addresses = this->vms.peer_addresses();
-    this->peers.send(fleet::encode(own), addresses);
-    if (addresses.empty())
-        this->peers.send(fleet::encode(own), this->options.seeds);
-}
-
-void edge_daemon::implementation::receive_report(std::string_view datagram)
-{
-    result<fleet::report> said = fleet::decode(datagram);
-    if (!said)
-    {
-        this->log("report_rejected", {{"problem", said.error().message}});
-        return;
-    }
-    const std::string name = said.value().vm.value;
-    const std::uint64_t version = said.value().configuration_version;
-    const time_point now = monotonic_now();
-    this->learn_leaving(now, said.value().leaving);
-    const fleet::membership::observation seen =
-        this->vms.observe(now, std::move(said.value()));
-    // All VMs reckon with the same figures at the same time.
-    for (const allowance::demand& change : seen.change)
-        this->allowances.change_remote(now, change);
-    this->newcomer = this->newcomer || seen.appeared || seen.returned;
-    if (seen.appeared)
-    {
-        this->log("vm_found", {{"peer", name}});
-        this->apply_vm_count();
-    }
     const configuration::state* active = this->requests.active();
     const std::uint64_t own = active == nullptr ? 0 : active->version();
     // The own read may hang on a connection that has gone silent.
     if (version > own && this->tables.hurry_configuration(now))
         this->log("configuration_behind",
-                  {{"peer", name}, {"peer_version", version}, {"active", own}});
-}
-
-void edge_daemon::implementation::share_demand(time_point now)
-{
-    const configuration::state* active = this->requests.active();
-    if (active == nullptr)
-        return;
-    const std::map<std::string, allowance::remote_share> remote =
-        this->vms.remote_shares(now);
-    this->allowances.set_vm_count(this->vms.sharing_count(now));
-    for (const configuration::account& each : active->accounts())
-    {
-        const auto found = remote.find(each.name);
-        this->allowances.set_remote(now, each.name,
-                                    found == remote.end() ? allowance::remote_share()
-                                                          : found->second);
-    }
-    this->known_upstreams.set_remote_demand(this->vms.service_demand(now));
-    this->known_upstreams.tick(now);
+                  {{"peer", peer.value}, {"peer_version", version}, {"active", own}});
 }
 
-void edge_daemon::implementation::apply_vm_count()
+void edge_daemon::implementation::check_tokens()
 {
-    const std::size_t count = this->vms.known_count();
-    this->known_upstreams.set_vm_count(count);
-    this->requests.set_vm_count(count);
-}
-
-void edge_daemon::implementation::read_vms()
-{
-    this->store.read_vms(
-        [this](const result<std::map<vm_id, std::string>>& all)
-        {
-            const bool good = all.has_value();
-            if (good)
-            {
-                const time_point now = monotonic_now();
-                this->vms.set_addresses(now, all.value());
-                this->apply_vm_count();
-                this->share_demand(now);
-            }
-            this->vm_reader.start(good ? read_vms_interval : register_retry);
-        });
-}
-
-void edge_daemon::implementation::register_self()
-{
-    this->store.register_vm(
-        this->options.vm, this->options.peers,
-        [this](const result<void>& done)
-        {
-            // Of two VMs that start together, the one that reads after both have
-            // registered finds the other.
-            this->vm_reader.start(duration(0));
-            if (done)
-                return;
-            this->log("register_failed", {{"problem", done.error().message}});
-            this->registrar.start(register_retry);
-        });
+    if (this->vms.waits_for_tokens() && !this->token_timer.is_pending())
+        this->token_timer.start(token_interval);
 }
 
 bool edge_daemon::implementation::ready() const
@@ -616,7 +589,6 @@
         server.respond(id, {.status = 404});
         return;
     }
-    this->vms.set_ready(this->ready());
     const std::vector<std::string> addresses =
         this->vms.addresses_for(monotonic_now(), caller->region, caller->data_centre);
     if (addresses.empty())
@@ -649,6 +621,7 @@
     set("requests_pending", totals.pending);
     set("attempts", totals.attempts);
     set("retries", totals.retries);
+    set("coordinates", this->vms.role() == cell::role::coordinator ? 1 : 0);
     set("upstreams", this->known_upstreams.size());
     set("upstream_connections_opened", this->upstream_client.connections_opened());
     set("caller_connections", this->callers.connections());
@@ -668,7 +641,7 @@
     this->stopping = true;
     this->stop_begun = monotonic_now();
     this->callers.begin_drain();
-    this->send_report(this->stop_begun);
+    this->vms.tell(this->stop_begun);
     this->exit_timer.start(exit_check);
     this->log("stopping", {{"pending", this->requests.totals().pending},
                            {"connections", this->callers.connections()}});
--- a/pistachiospan/edge/edge.hpp
+++ b/pistachiospan/edge/edge.hpp
@@ -12,7 +12,7 @@
 #ifndef PISTACHIOSPAN_EDGE_EDGE_HPP
 #define PISTACHIOSPAN_EDGE_EDGE_HPP
 
-#include "pistachiospan/fleet/fleet.hpp"
+#include "pistachiospan/fleet_node/fleet_node.hpp"
 #include "pistachiospan/gateway/gateway.hpp"
 #include "pistachiospan/http1/http1.hpp"
 #include "pistachiospan/mirror/mirror.hpp"
@@ -34,7 +34,7 @@
     std::string directory;    // empty: none
     std::string peers;        // datagrams and tables for the other VMs
     std::string metrics;
-    std::vector<std::string> seeds; // peer addresses of some other VMs; may be stale
+    double capacity = 1;            // share of a core that the process may use
     std::size_t descriptors = 1024; // that the process may open
     std::size_t memory = std::size_t{256} << 20U; // bytes that the process may use
     duration grace = std::chrono::seconds(6);     // from SIGTERM to SIGKILL
@@ -52,7 +52,10 @@
 };
 
 using page_handler = std::function<void(result<mirror::page>)>;
-using peer_handler = std::function<void(result<std::map<vm_id, std::string>>)>;
+using claim_handler = std::function<void(result<cell::claim_outcome>)>;
+// Peer addresses of coordinators, by data centre.
+using coordinators_handler =
+    std::function<void(result<std::map<std::string, std::string>>)>;
 
 // The platform's store. Handlers are called later, from the loop. Errors: stale (the
 // history asked for is gone: read the whole table), unavailable, limit_exceeded, others.
@@ -62,11 +65,9 @@
     // Answers as soon as there is a change after `after`, or when `wait` has passed.
     std::function<void(table, std::uint64_t after, duration wait, page_handler)>
         read_changes;
-    // Writes the peer address of this VM where the other VMs find it.
-    std::function<void(const vm_id&, const std::string& address,
-                       std::function<void(result<void>)>)>
-        register_vm;
-    std::function<void(peer_handler)> read_vms;
+    // Writes who coordinates a data centre, where the other VMs find it.
+    std::function<void(const cell::claim&, claim_handler)> claim;
+    std::function<void(coordinators_handler)> read_coordinators;
     // Gives up a pending read_changes() and its connection.
     std::function<void(table)> interrupt;
 };
--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -47,9 +47,9 @@
     const time_point now = monotonic_now();
     if (!outcome)
     {
-        this->hooks.read({});
         this->store_first = true;
         this->next.start(duration(0));
+        this->hooks.read({.source = this->source});
         return;
     }
     const mirror::relay_page& given = outcome.value();
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -31,6 +31,7 @@
     bool from_store = false; // else from another VM
     bool good = false;
     bool timed_out = false; // the store gave no answer
+    std::string source;     // peer address of the other VM
 };
 
 struct follower_hooks
--- a/pistachiospan/edge/internal/peer_link.hpp
+++ b/pistachiospan/edge/internal/peer_link.hpp
@@ -19,7 +19,8 @@
 
 struct peer_link_hooks
 {
-    std::function<void(std::string_view datagram)> received;
+    // `from` is the peer address of the VM that sent it.
+    std::function<void(const std::string& from, std::string_view datagram)> received;
     std::function<const mirror::table_mirror&(table)> copy;
 };
 
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -1,6 +1,6 @@
-// This VM's copies of the store's tables, and the choice of where to read them: one VM of
-// each region reads the store and the others follow it, so that the store's calls do not
-// grow with the number of VMs.
+// This VM's copies of the store's tables, and the choice of where to read them: one
+// coordinator of each region reads the store, the other ones follow it, and members
+// follow their coordinator, so that the store's calls do not grow with the number of VMs.
 
 #ifndef PISTACHIOSPAN_EDGE_INTERNAL_STORE_VIEW_HPP
 #define PISTACHIOSPAN_EDGE_INTERNAL_STORE_VIEW_HPP
@@ -8,7 +8,7 @@
 #include "pistachiospan/edge/edge.hpp"
 #include "pistachiospan/edge/internal/follower.hpp"
 #include "pistachiospan/edge/internal/peer_link.hpp"
-#include "pistachiospan/fleet/fleet.hpp"
+#include "pistachiospan/fleet_node/fleet_node.hpp"
 #include "pistachiospan/mirror/mirror.hpp"
 
 #include <nlohmann/json.hpp>
@@ -21,7 +21,8 @@
 struct store_view_options
 {
     std::uint64_t instance = 0; // of the copies; another one after each start
-    // While the store does not answer, and others do, it is tried again after this time.
+    // While the store does not answer, it is tried again after this time, by one of the
+    // VMs of a data centre that try it.
     duration store_retry = std::chrono::milliseconds(700);
     // A VM that knows less than another one for this long reads the store itself.
     duration behind_limit = std::chrono::milliseconds(500);
@@ -50,7 +51,7 @@
 {
 public:
     store_view(event_base* base, store_view_options options, const store_access& store,
-               peer_link& peers, const fleet::membership& vms, store_view_hooks hooks);
+               peer_link& peers, fleet_node::node& vms, store_view_hooks hooks);
 
     const mirror::table_mirror& copy(table which) const;
 
@@ -67,6 +68,8 @@
     // Time since the operator's rows were last read, here or at another VM, before the
     // read that is being applied.
     duration operator_news_age(time_point now) const;
+    // How old this VM's copies may be; 0 while it follows one that reads the store.
+    duration news_age(time_point now) const;
     // Time since the last successful read of the registry from the store, which is read
     // most often; `duration::max()` without any.
     duration store_age(time_point now) const;
@@ -95,6 +98,7 @@
     // False when the store has not answered for a while.
     bool reaches_store(time_point now) const;
     std::string choose_source(time_point now) const;
+    bool try_store(time_point now, std::size_t sharing) const;
     void publish(followed_table& of);
     void publish_changes();
     void catch_up(time_point now);
@@ -102,7 +106,7 @@
 
     store_view_options options;
     peer_link& peers;
-    const fleet::membership& vms;
+    fleet_node::node& vms;
     store_view_hooks hooks;
     followed_table operator_rows;
     followed_table upstreams;
--- a/pistachiospan/edge/peer_link.cpp
+++ b/pistachiospan/edge/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "pistachiospan/edge/internal/peer_link.hpp"
 
+#include <arpa/inet.h>
 #include <event2/util.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -33,6 +34,13 @@
     return parsed;
 }
 
+std::string text_of(const sockaddr_in& address)
+{
+    std::array<char, INET_ADDRSTRLEN> ip{};
+    inet_ntop(AF_INET, &address.sin_addr, ip.data(), ip.size());
+    return std::string(ip.data()) + ':' + std::to_string(ntohs(address.sin_port));
+}
+
 int open_socket(const std::string& address)
 {
     const std::optional<sockaddr_in> local = parse(address);
@@ -105,10 +113,14 @@
     std::array<char, max_datagram> buffer; // NOLINT: filled by recv
     for (int count = 0; count < most_datagrams; ++count)
     {
-        const ssize_t size = recv(this->socket, buffer.data(), buffer.size(), 0);
+        sockaddr_in from{};
+        socklen_t from_size = sizeof(from);
+        const ssize_t size = recvfrom(this->socket, buffer.data(), buffer.size(), 0,
+                                      reinterpret_cast<sockaddr*>(&from), &from_size);
         if (size <= 0)
             return;
-        this->hooks.received({buffer.data(), static_cast<std::size_t>(size)});
+        this->hooks.received(text_of(from),
+                             {buffer.data(), static_cast<std::size_t>(size)});
     }
 }
 
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -34,8 +34,8 @@
 }
 
 store_view::store_view(event_base* base, store_view_options given,
-                       const store_access& store, peer_link& peers,
-                       const fleet::membership& vms, store_view_hooks given_hooks)
+                       const store_access& store, peer_link& peers, fleet_node::node& vms,
+                       store_view_hooks given_hooks)
     : options(given), peers(peers), vms(vms), hooks(std::move(given_hooks)),
       operator_rows(*this, base, {.followed = table::operator_rows}, store,
                     {.instance = this->options.instance}, this->hooks.operator_rows),
@@ -73,6 +73,8 @@
 void store_view::finish_read(table of, const read_end& ended)
 {
     this->hooks.read(name_of(of), ended);
+    if (!ended.good && !ended.from_store)
+        this->vms.note_disconnected(monotonic_now(), ended.source);
     // The longer read of the operator's rows may hang for the same reason.
     if (ended.timed_out && of == table::upstreams)
         this->operator_rows.reads.restart();
@@ -117,18 +119,33 @@
 // follows another region's reader, or whoever knows more.
 std::string store_view::choose_source(time_point now) const
 {
-    if (const fleet::peer* reader = this->vms.reader(now, this->store_age(now)))
-        return reader->said.peer_address;
-    const bool retry_due = now - this->store_tried >= this->options.store_retry;
-    if (this->reaches_store(now) || retry_due)
+    const std::string reader = this->vms.reader(now, this->store_age(now));
+    if (!reader.empty())
+        return reader;
+    const std::string stale = this->vms.coordinator_address();
+    if (!stale.empty())
+        return this->try_store(now, this->vms.known_members()) ? std::string() : stale;
+    if (this->reaches_store(now) || this->try_store(now, 1))
         return {};
-    if (const fleet::peer* remote = this->vms.remote_reader(now))
-        return remote->said.peer_address;
-    if (const fleet::peer* best =
-            this->vms.best_informed(now, this->operator_rows.copy.newest_change(),
-                                    this->upstreams.copy.newest_change()))
-        return best->said.peer_address;
-    return {};
+    const std::string remote = this->vms.remote_reader(now);
+    if (!remote.empty())
+        return remote;
+    const auto best =
+        this->vms.best_informed(now, this->operator_rows.copy.newest_change(),
+                                this->upstreams.copy.newest_change());
+    return best ? best->peer_address : std::string();
+}
+
+// True if this VM has read the store of late, or is due to try it. So many VMs share the
+// tries.
+bool store_view::try_store(time_point now, std::size_t sharing) const
+{
+    if (this->store_age(now) <= this->options.store_retry)
+        return true;
+    const auto turns = static_cast<std::int64_t>(sharing);
+    const duration pause =
+        std::max(this->options.store_retry, this->options.store_retry * turns / 2);
+    return now - this->store_tried >= pause;
 }
 
 bool store_view::reaches_store(time_point now) const
@@ -142,6 +159,15 @@
     return this->operator_rows.reads.news_age(now);
 }
 
+duration store_view::news_age(time_point now) const
+{
+    const duration age = this->store_age(now);
+    const bool follows =
+        !this->vms.reader(now, age).empty() ||
+        (!this->reaches_store(now) && !this->vms.remote_reader(now).empty());
+    return follows ? duration(0) : age;
+}
+
 duration store_view::store_age(time_point now) const
 {
     return this->upstreams.reads.store_age(now);
@@ -150,9 +176,9 @@
 // The VM that this one follows may itself hang on a dead connection.
 void store_view::catch_up(time_point now)
 {
-    const fleet::peer* best = this->vms.best_informed(now, this->operator_rows.newest(),
-                                                      this->upstreams.newest());
-    if (best == nullptr)
+    const auto best = this->vms.best_informed(now, this->operator_rows.newest(),
+                                              this->upstreams.newest());
+    if (!best)
     {
         this->behind_since = now;
         return;
@@ -160,15 +186,14 @@
     if (now - this->behind_since < this->options.behind_limit)
         return;
     const time_point since = std::exchange(this->behind_since, now);
-    const fleet::report& said = best->said;
     this->hooks.log("tables_behind",
-                    {{"peer", said.vm.value},
-                     {"peer_operator_change", said.operator_change},
+                    {{"peer", best->vm.value},
+                     {"peer_operator_change", best->operator_change},
                      {"operator_change", this->operator_rows.copy.newest_change()},
-                     {"peer_registry_change", said.registry_change},
+                     {"peer_registry_change", best->registry_change},
                      {"registry_change", this->upstreams.copy.newest_change()}});
-    read_if_older(this->operator_rows, said.operator_change, since);
-    read_if_older(this->upstreams, said.registry_change, since);
+    read_if_older(this->operator_rows, best->operator_change, since);
+    read_if_older(this->upstreams, best->registry_change, since);
 }
 
 void store_view::read_if_older(followed_table& of, std::uint64_t change, time_point since)
--- a/pistachiospan/event_loop/event_loop.hpp
+++ b/pistachiospan/event_loop/event_loop.hpp
@@ -102,6 +102,11 @@
         event_del(this->timer.get());
     }
 
+    bool is_pending() const
+    {
+        return event_pending(this->timer.get(), EV_TIMEOUT, nullptr) != 0;
+    }
+
 private:
     std::function<void()> on_end;
     event_ptr timer;
--- /dev/null
+++ b/pistachiospan/fleet/report.cpp
@@ -0,0 +1,173 @@
+// Encoding of reports.
+
+#include "pistachiospan/fleet/fleet.hpp"
+
+namespace pistachiospan::fleet
+{
+
+namespace
+{
+
+constexpr std::size_t brief_fields = 13;
+constexpr std::size_t whole_fields = 19;
+
+// Bits of a report's state.
+constexpr unsigned ready_bit = 1;
+constexpr unsigned draining_bit = 2;
+constexpr unsigned searching_bit = 4;
+
+// Ages are told in milliseconds. Older than this is told as this.
+constexpr std::chrono::milliseconds oldest_told{60000};
+
+nlohmann::json encode_vms(const std::vector<vm_entry>& vms)
+{
+    nlohmann::json all = nlohmann::json::array();
+    for (const vm_entry& each : vms)
+        all.push_back({each.vm.value, each.peer_address, each.caller_address,
+                       static_cast<float>(each.capacity), each.usable});
+    return all;
+}
+
+std::vector<vm_entry> decode_vms(const nlohmann::json& all)
+{
+    std::vector<vm_entry> vms;
+    for (const nlohmann::json& each : all)
+        vms.push_back({.vm = {each.at(0).get<std::string>()},
+                       .peer_address = each.at(1).get<std::string>(),
+                       .caller_address = each.at(2).get<std::string>(),
+                       .capacity = each.at(3).get<double>(),
+                       .usable = each.at(4).get<bool>()});
+    return vms;
+}
+
+nlohmann::json encode_coordinators(const std::vector<coordinator_entry>& coordinators)
+{
+    nlohmann::json all = nlohmann::json::array();
+    for (const coordinator_entry& each : coordinators)
+        all.push_back({each.data_centre, each.peer_address, each.epoch, each.heard});
+    return all;
+}
+
+std::vector<coordinator_entry> decode_coordinators(const nlohmann::json& all)
+{
+    std::vector<coordinator_entry> coordinators;
+    for (const nlohmann::json& each : all)
+        coordinators.push_back({.data_centre = each.at(0).get<std::string>(),
+                                .peer_address = each.at(1).get<std::string>(),
+                                .epoch = each.at(2).get<std::uint64_t>(),
+                                .heard = each.at(3).get<bool>()});
+    return coordinators;
+}
+
+unsigned state_of(const report& from)
+{
+    return (from.ready ? ready_bit : 0U) | (from.draining ? draining_bit : 0U) |
+           (from.searching ? searching_bit : 0U);
+}
+
+nlohmann::json encode_services(const std::vector<upstreams::service_demand>& services)
+{
+    nlohmann::json all = nlohmann::json::object();
+    for (const upstreams::service_demand& each : services)
+        all[each.service] = {static_cast<float>(each.rate), each.bound};
+    return all;
+}
+
+report decode_brief(const nlohmann::json& all)
+{
+    const unsigned state = all.at(4).get<unsigned>();
+    report made{.brief = true,
+                .vm = {all.at(0).get<std::string>()},
+                .started = all.at(1).get<incarnation>(),
+                .sequence = all.at(2).get<std::uint64_t>(),
+                .epoch = all.at(3).get<std::uint64_t>(),
+                .searching = (state & searching_bit) != 0,
+                .ready = (state & ready_bit) != 0,
+                .draining = (state & draining_bit) != 0,
+                .configuration_version = all.at(5).get<std::uint64_t>(),
+                .operator_change = all.at(6).get<std::uint64_t>(),
+                .registry_change = all.at(7).get<std::uint64_t>(),
+                .store_age = std::chrono::milliseconds(all.at(8).get<std::uint32_t>())};
+    for (const auto& [account, rate] : all.at(9).items())
+        made.demand.push_back({.account = account, .rate = rate.get<double>()});
+    for (const auto& [service, figures] : all.at(10).items())
+        made.services.push_back(
+            {.service = service,
+             .rate = figures.at(0).get<double>(),
+             .bound = figures.at(1).get<std::map<std::string, double>>()});
+    for (const auto& [id, started] : all.at(11).items())
+        made.leaving.push_back({.id = id, .started = started.get<std::int64_t>()});
+    made.heard_part = all.at(12).get<double>();
+    return made;
+}
+
+report decode_whole(const nlohmann::json& all)
+{
+    report made = decode_brief(all);
+    made.brief = false;
+    made.data_centre = all.at(13).get<std::string>();
+    made.peer_address = all.at(14).get<std::string>();
+    made.caller_address = all.at(15).get<std::string>();
+    made.capacity = all.at(16).get<double>();
+    made.vms = decode_vms(all.at(17));
+    made.coordinators = decode_coordinators(all.at(18));
+    return made;
+}
+
+} // namespace
+
+std::string encode(const report& from)
+{
+    nlohmann::json demand = nlohmann::json::object();
+    for (const allowance::demand& each : from.demand)
+        demand[each.account] = static_cast<float>(each.rate);
+    nlohmann::json leaving = nlohmann::json::object();
+    for (const upstreams::upstream_start& each : from.leaving)
+        leaving[each.id] = each.started;
+    const auto age = std::min(
+        std::chrono::floor<std::chrono::milliseconds>(from.store_age), oldest_told);
+    nlohmann::json all = {from.vm.value,
+                          from.started,
+                          from.sequence,
+                          from.epoch,
+                          state_of(from),
+                          from.configuration_version,
+                          from.operator_change,
+                          from.registry_change,
+                          age.count(),
+                          std::move(demand),
+                          encode_services(from.services),
+                          std::move(leaving),
+                          static_cast<float>(from.heard_part)};
+    if (!from.brief)
+    {
+        all.push_back(from.data_centre);
+        all.push_back(from.peer_address);
+        all.push_back(from.caller_address);
+        all.push_back(static_cast<float>(from.capacity));
+        all.push_back(encode_vms(from.vms));
+        all.push_back(encode_coordinators(from.coordinators));
+    }
+    std::string bytes;
+    nlohmann::json::to_msgpack(all, bytes);
+    return bytes;
+}
+
+result<report> decode(std::string_view bytes)
+{
+    const nlohmann::json all = nlohmann::json::from_msgpack(bytes, true, false);
+    if (!all.is_array() || (all.size() != brief_fields && all.size() != whole_fields))
+        return failure(errc::invalid_argument,
+                       "report of a VM has another shape; run one version on all VMs");
+    try
+    {
+        return all.size() == brief_fields ? decode_brief(all) : decode_whole(all);
+    }
+    catch (const nlohmann::json::exception& problem)
+    {
+        return failure(errc::invalid_argument,
+                       std::string("report of a VM is malformed: ") + problem.what());
+    }
+}
+
+} // namespace pistachiospan::fleet
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -37,8 +37,8 @@
                      const configuration::account& of)
 {
     std::ostringstream text;
-    text << std::fixed << "this VM's part is " << std::setprecision(3) << refused.part
-         << " of " << std::setprecision(1) << of.rate << "/s";
+    text << std::fixed << "the part to be had here is " << std::setprecision(3)
+         << refused.part << " of " << std::setprecision(1) << of.rate << "/s";
     return text.str();
 }
 
@@ -87,18 +87,16 @@
     return "unknown";
 }
 
-gateway::gateway(gateway_options options, gateway_parts parts, gateway_hooks hooks)
-    : options(options), parts(parts), hooks(std::move(hooks))
+gateway::gateway(gateway_options options, upstreams::upstream_set& upstreams,
+                 gateway_hooks hooks)
+    : options(options), upstreams(upstreams), hooks(std::move(hooks))
 {
 }
 
-void gateway::set_configuration(time_point now,
-                                std::shared_ptr<const configuration::state> next)
+void gateway::set_configuration(std::shared_ptr<const configuration::state> next)
 {
-    const bool first = this->configuration == nullptr;
     this->configuration = std::move(next);
-    this->parts.upstreams.set_services(this->configuration->services());
-    this->parts.allowances.set_accounts(now, this->configuration->accounts(), !first);
+    this->upstreams.set_services(this->configuration->services());
 }
 
 void gateway::set_vm_count(std::size_t count)
@@ -133,15 +131,49 @@
                  .configuration = this->configuration,
                  .begun = now};
     made.deadline = now + made.request.time_left.value_or(this->options.default_time);
-    if (!this->admit(now, exchange, made))
+    if (!this->find_route(now, exchange, made))
         return;
-    this->policy_of(made.service).note_request(now);
     pending& kept = this->requests.emplace(exchange, std::move(made)).first->second;
-    this->dispatch(now, exchange, kept);
+    if (kept.account == nullptr)
+    {
+        this->policy_of(kept.service).note_request(now);
+        this->dispatch(now, exchange, kept);
+        return;
+    }
+    kept.waits_for_token = true;
+    const std::string account = kept.account->name;
+    this->hooks.ask_token(exchange, account);
 }
 
-// Finds route and account and takes a token. Answers the request itself on refusal.
-bool gateway::admit(time_point now, exchange_id exchange, pending& made)
+void gateway::finish_admission(time_point now, exchange_id exchange,
+                               const allowance::admission& made)
+{
+    const auto found = this->requests.find(exchange);
+    if (found == this->requests.end() || !found->second.waits_for_token)
+        return;
+    pending& of = found->second;
+    of.waits_for_token = false;
+    of.holds_token = made.admitted;
+    if (of.caller_gone)
+    {
+        if (made.admitted)
+            this->hooks.return_token(of.account->name);
+        this->requests.erase(found);
+        return;
+    }
+    if (!made.admitted)
+    {
+        this->refuse(now, exchange, of,
+                     {.reason = refusal::over_allowance, .retry_after = made.retry_after},
+                     describe(made, *of.account));
+        return;
+    }
+    this->policy_of(of.service).note_request(now);
+    this->dispatch(now, exchange, of);
+}
+
+// Finds route and account. Answers the request itself on refusal.
+bool gateway::find_route(time_point now, exchange_id exchange, pending& made)
 {
     if (!made.configuration)
     {
@@ -166,16 +198,7 @@
         made.deadline = std::min(made.deadline, now + made.route->timeout);
     made.service =
         configuration::choose_target(*made.route, made.request.request_id).service;
-    if (made.account == nullptr)
-        return true;
-    const allowance::admission token =
-        this->parts.allowances.admit(now, made.account->name);
-    if (token.admitted)
-        return true;
-    this->refuse(now, exchange, made,
-                 {.reason = refusal::over_allowance, .retry_after = token.retry_after},
-                 describe(token, *made.account));
-    return false;
+    return true;
 }
 
 double gateway::part_for(const pending& of) const
@@ -194,7 +217,7 @@
     static const std::vector<std::string> nowhere;
     const duration left = of.deadline - now;
     const auto part = std::chrono::duration_cast<duration>(left * this->part_for(of));
-    of.chosen = this->parts.upstreams.select(
+    of.chosen = this->upstreams.select(
         now, {.service = of.service,
               .object = of.route->sticky ? std::string_view(of.request.object)
                                          : std::string_view(),
@@ -214,7 +237,7 @@
     of.sent = now;
     ++of.attempts;
     ++this->total.attempts;
-    this->parts.upstreams.begin(now, of.chosen);
+    this->upstreams.begin(now, of.chosen);
     of.call = this->hooks.send(
         {.exchange = exchange,
          .upstream = of.upstream,
@@ -232,8 +255,7 @@
         return;
     pending& of = found->second;
     of.call = 0;
-    this->parts.upstreams.end(now, of.chosen, ending_of(ended), now - of.sent,
-                              ended.load);
+    this->upstreams.end(now, of.chosen, ending_of(ended), now - of.sent, ended.load);
     this->note(now, of, ended);
     if (of.caller_gone)
     {
@@ -281,11 +303,11 @@
 void gateway::note(time_point now, const pending& of, const attempt_result& ended)
 {
     if (ended.cold_left)
-        this->parts.upstreams.note_cold(now, of.upstream, *ended.cold_left);
+        this->upstreams.note_cold(now, of.upstream, *ended.cold_left);
     if (ended.pause)
-        this->parts.upstreams.note_pause(now, of.upstream, *ended.pause);
+        this->upstreams.note_pause(now, of.upstream, *ended.pause);
     const upstreams::upstream_start which{of.upstream, of.chosen.started};
-    const bool leaves = ended.leaving && this->parts.upstreams.note_leaving(now, which);
+    const bool leaves = ended.leaving && this->upstreams.note_leaving(now, which);
     if (this->hooks.notice && (leaves || ended.pause))
         this->hooks.notice({.upstream = which, .leaving = leaves, .pause = ended.pause});
 }
@@ -330,8 +352,8 @@
     if (!of.may_have_run)
     {
         answer.retry_after = std::max(of.chosen.retry_after, this->options.unknown_retry);
-        if (of.account != nullptr)
-            this->parts.allowances.give_back(now, of.account->name);
+        if (of.holds_token)
+            this->hooks.return_token(of.account->name);
     }
     this->refuse(now, exchange, of, answer, detail);
 }
@@ -353,6 +375,11 @@
         return;
     pending& of = found->second;
     this->report(now, "left", of, refusal::none, 0, {});
+    if (of.waits_for_token)
+    {
+        of.caller_gone = true;
+        return;
+    }
     if (of.route->kind != configuration::repeatability::idempotent && of.call != 0)
     {
         of.caller_gone = true;
@@ -361,8 +388,8 @@
     if (of.call != 0)
     {
         this->hooks.cancel(of.call);
-        this->parts.upstreams.end(now, of.chosen, upstreams::ending::cancelled,
-                                  now - of.sent, std::nullopt);
+        this->upstreams.end(now, of.chosen, upstreams::ending::cancelled, now - of.sent,
+                            std::nullopt);
     }
     this->requests.erase(found);
 }
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -2,9 +2,10 @@
 //
 // Example:
 //
-//     gateway requests({.seed = 1}, {upstreams, allowances}, {.send = send, ...});
-//     requests.set_configuration(now, active);
+//     gateway requests({.seed = 1}, upstreams, {.ask_token = ask, .send = send, ...});
+//     requests.set_configuration(active);
 //     requests.submit(now, exchange, request);
+//     requests.finish_admission(now, exchange, admission);
 //     requests.finish_attempt(now, exchange, attempt, result);
 //     requests.caller_left(now, exchange);
 //
@@ -134,6 +135,10 @@
 
 struct gateway_hooks
 {
+    // Asks for a token of the account. finish_admission() must follow, at once or later.
+    std::function<void(exchange_id, const std::string& account)> ask_token;
+    // A token was not used.
+    std::function<void(const std::string& account)> return_token;
     std::function<call_id(const attempt&)> send;
     std::function<void(call_id)> cancel;
     std::function<void(exchange_id, std::any answer)> deliver;
@@ -160,13 +165,6 @@
     std::uint64_t seed = 0;
 };
 
-// They outlive the gateway.
-struct gateway_parts
-{
-    upstreams::upstream_set& upstreams;
-    allowance::ledger& allowances;
-};
-
 struct counts
 {
     std::uint64_t submitted = 0;
@@ -178,10 +176,11 @@
 class gateway
 {
 public:
-    gateway(gateway_options options, gateway_parts parts, gateway_hooks hooks);
+    // The upstreams outlive the gateway.
+    gateway(gateway_options options, upstreams::upstream_set& upstreams,
+            gateway_hooks hooks);
 
-    void set_configuration(time_point now,
-                           std::shared_ptr<const configuration::state> next);
+    void set_configuration(std::shared_ptr<const configuration::state> next);
     const configuration::state* active() const
     {
         return this->configuration.get();
@@ -190,6 +189,8 @@
     void set_vm_count(std::size_t count);
 
     void submit(time_point now, exchange_id exchange, caller_request incoming);
+    void finish_admission(time_point now, exchange_id exchange,
+                          const allowance::admission& made);
     void finish_attempt(time_point now, exchange_id exchange, call_id call,
                         attempt_result ended);
     void caller_left(time_point now, exchange_id exchange);
@@ -215,9 +216,11 @@
         bool may_have_run = false;
         upstreams::selection chosen;
         bool caller_gone = false;
+        bool waits_for_token = false;
+        bool holds_token = false;
     };
 
-    bool admit(time_point now, exchange_id exchange, pending& made);
+    bool find_route(time_point now, exchange_id exchange, pending& made);
     void dispatch(time_point now, exchange_id exchange, pending& of);
     void note(time_point now, const pending& of, const attempt_result& ended);
     bool retry(time_point now, exchange_id exchange, pending& of, bool not_run);
@@ -233,7 +236,7 @@
     double part_for(const pending& of) const;
 
     gateway_options options;
-    gateway_parts parts;
+    upstreams::upstream_set& upstreams;
     gateway_hooks hooks;
     std::shared_ptr<const configuration::state> configuration;
     std::unordered_map<exchange_id, pending> requests;
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -431,19 +431,12 @@
         group.bound[region] += one / static_cast<double>(homes.size());
 }
 
-std::vector<service_demand> upstream_set::report_demand(time_point now, bool whole)
+std::vector<service_demand> upstream_set::report_demand(time_point now)
 {
     std::vector<service_demand> all;
     for (auto& [name, group] : this->groups)
     {
         this->decay_demand(now, group);
-        double demand = group.demand;
-        for (const auto& [region, rate] : group.bound)
-            demand += rate;
-        const double change = std::abs(demand - group.told);
-        if (!whole && change < std::max(group.told * this->options.change_told, 1.0))
-            continue;
-        group.told = demand;
         all.push_back({.service = name, .rate = group.demand, .bound = group.bound});
     }
     return all;
@@ -461,11 +454,39 @@
 void upstream_set::tick(time_point now)
 {
     for (auto& [name, group] : this->groups)
-        if (!group.plan.empty() && now - group.planned >= this->options.plan_interval &&
-            group.mean_time > 0)
+        if (!group.plan.empty() && !this->follows_plan(now, group) &&
+            now - group.planned >= this->options.plan_interval && group.mean_time > 0)
             this->move_plan(now, group);
 }
 
+bool upstream_set::follows_plan(time_point now, const service_group& group) const
+{
+    return group.told_plan && now - *group.told_plan < this->options.told_plan_time;
+}
+
+plan_set upstream_set::plans() const
+{
+    plan_set all;
+    for (const auto& [name, group] : this->groups)
+        if (!group.plan.empty())
+            all.emplace(name, group.plan);
+    return all;
+}
+
+void upstream_set::adopt_plans(time_point now, const plan_set& told)
+{
+    for (const auto& [name, plan] : told)
+    {
+        service_group& group = this->groups[name];
+        group.plan = plan;
+        std::erase_if(group.plan, [this](const auto& each)
+                      { return !this->where.contains(each.first); });
+        group.planned = now;
+        group.told_plan = now;
+        this->order_plan(group);
+    }
+}
+
 const std::string* upstream_set::planned(const service_group& group,
                                          std::uint64_t object_hash) const
 {
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -98,9 +98,8 @@
     // change their load at once.
     double plan_step = 0.008;
     duration plan_interval = std::chrono::milliseconds(500);
+    duration told_plan_time = std::chrono::seconds(3); // a plan that was told counts
     duration demand_memory = std::chrono::seconds(3);
-    // A change of demand that is worth telling, as a part of the demand told last.
-    double change_told = 0.2;
     // Busy part of all slots that the first plan expects.
     double initial_utilisation = 0.5;
     // Time in which an evacuated data centre gives up its requests, and in which a
@@ -197,6 +196,9 @@
     std::map<std::string, double> bound; // by the region in which they must run
 };
 
+// Parts of the requests by service and data centre of the upstreams.
+using plan_set = std::map<std::string, std::map<std::string, double>>;
+
 class upstream_set
 {
 public:
@@ -217,13 +219,16 @@
 
     selection select(time_point now, const query& wanted);
 
-    // Demand at this VM, for the other VMs: all of it, or what has changed since it was
-    // told last.
-    std::vector<service_demand> report_demand(time_point now, bool whole);
+    // Demand at this VM, for the other VMs.
+    std::vector<service_demand> report_demand(time_point now);
     // Demand at the other VMs, by their data centre.
     void set_remote_demand(std::map<std::string, remote_demand> by_service);
     // Moves the plans towards the demand. Call about twice a second.
     void tick(time_point now);
+    // The plans of this VM, for the other VMs of its data centre; and theirs, which it
+    // uses instead of its own as long as they are told.
+    plan_set plans() const;
+    void adopt_plans(time_point now, const plan_set& told);
 
     // A request was sent. Each begin() is followed by one end().
     void begin(time_point now, const selection& chosen);
@@ -293,11 +298,11 @@
         double demand = 0; // requests per second at this VM that may run anywhere
         std::map<std::string, double> bound; // those that must run in a region
         time_point decayed;
-        double told = 0; // demand of both kinds in the last report
         remote_demand remote;
         std::map<std::string, double> plan; // data centre to its part
         std::vector<std::string> plan_order;
-        time_point planned; // last move of the plan
+        time_point planned;                  // last move of the plan
+        std::optional<time_point> told_plan; // when the plan was told last
     };
 
     struct candidate
@@ -336,6 +341,7 @@
     void make_first_plan(time_point now, service_group& group);
     void move_plan(time_point now, service_group& group);
     void order_plan(service_group& group) const;
+    bool follows_plan(time_point now, const service_group& group) const;
     void count_demand(time_point now, service_group& group, const query& wanted) const;
     void decay_demand(time_point now, service_group& group) const;
     const std::string* planned(const service_group& group,
