End answers that have no end, and drop late copies of answers

Shown by tests that failed before: a server that goes on sending interim answers, or answers to other requests, held the call until its deadline; a late second copy of a failure without an id, on a connection in use again, was delivered to the next caller.

A length that is only announced takes no memory.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -153,7 +153,8 @@
       requests({.retry_ratio = this->options.retry_ratio,
                 .retry_reserve = this->options.retry_reserve},
                this->known_upstreams, this->make_gateway_hooks()),
-      upstream_client(base, {.correlation_header = this->words.correlation_header}),
+      upstream_client(base, {.correlation_header = this->words.correlation_header,
+                             .max_buffered = this->options.memory / body_memory_divisor}),
       callers(base, this->options.callers,
               {.received = [this](http1::exchange_id id, http1::request&& incoming)
                { this->take_request(id, std::move(incoming)); },
--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -24,6 +24,11 @@
 constexpr int first_final_status = 200;
 constexpr int first_error_status = 400;
 
+// Interim answers, and answers to earlier requests, that one call passes over.
+constexpr std::size_t most_passed_over = 16;
+// Bytes of one call besides its answer's body: heads, framing, and what is passed over.
+constexpr std::size_t most_framing = std::size_t{1} << 20U;
+
 // A server closes an idle connection after the time it states; a request that crosses the
 // close is lost, so the connection is given up this much earlier.
 constexpr duration keep_alive_margin = std::chrono::seconds(1);
@@ -86,6 +91,10 @@
         time_point idle_since;
         std::string unsent; // the request, until the connection is open
         bool connected = false;
+        bool used = false;           // by an earlier call
+        std::size_t received = 0;    // bytes of this call
+        std::size_t passed_over = 0; // answers in this call
+        std::size_t buffered = 0;    // bytes of the body, counted in the total
     };
 
     static void on_read(bufferevent*, void* user);
@@ -96,6 +105,8 @@
     std::string serialize(const request& outgoing, const std::string& address) const;
     void start(connection& on, const call_options& how);
     void feed(connection& from);
+    void count_body(connection& of, std::size_t bytes);
+    std::string_view fault_of(const connection& from) const;
     void take_answer(connection& from);
     bool belongs(const connection& from) const;
     void on_end(connection& ended, short what);
@@ -109,6 +120,7 @@
     event_base* base;
     client_options options;
     std::uint64_t last_id = 0;
+    std::size_t total_buffered = 0; // bytes of all bodies
     std::unordered_map<std::uint64_t, std::unique_ptr<connection>> open;
     std::unordered_map<call_id, connection*> calls;
     std::unordered_map<std::string, std::vector<connection*>> idle;
@@ -156,6 +168,8 @@
     used->done = std::move(done);
     used->deadline = monotonic_now() + how.timeout;
     used->unsent = this->serialize(outgoing, address);
+    used->received = 0;
+    used->passed_over = 0;
     used->parser.next();
     if (outgoing.method == "HEAD")
         used->parser.expect_no_body();
@@ -282,9 +296,12 @@
             return;
         const std::size_t taken = from.parser.feed(piece);
         evbuffer_drain(input, taken);
-        if (from.parser.state() == parse_state::failed)
+        from.received += taken;
+        this->count_body(from, from.parser.body_size());
+        const std::string_view fault = this->fault_of(from);
+        if (!fault.empty())
         {
-            this->finish(from, {.end = call_end::broken, .detail = "answer is malformed"},
+            this->finish(from, {.end = call_end::broken, .detail = std::string(fault)},
                          false);
             return;
         }
@@ -296,12 +313,34 @@
             this->take_answer(from);
             return;
         }
+        ++from.passed_over;
         from.parser.next();
     }
 }
 
-// An answer without an id is taken only if it is a failure: a success must prove whose it
-// is.
+void client::implementation::count_body(connection& of, std::size_t bytes)
+{
+    this->total_buffered += bytes;
+    this->total_buffered -= of.buffered;
+    of.buffered = bytes;
+}
+
+// What is wrong with the bytes received so far; empty: nothing.
+std::string_view client::implementation::fault_of(const connection& from) const
+{
+    if (from.parser.state() == parse_state::failed)
+        return "answer is malformed";
+    if (from.received > this->options.max_answer + most_framing ||
+        from.passed_over > most_passed_over)
+        return "answer has no end";
+    if (this->total_buffered > this->options.max_buffered)
+        return "no memory for the answer";
+    return {};
+}
+
+// An answer without an id is taken only if it is a failure, and the first answer of its
+// connection: a success must prove whose it is, and a late copy of an earlier answer has
+// no place on a new connection.
 bool client::implementation::belongs(const connection& from) const
 {
     if (from.correlation.empty())
@@ -309,7 +348,8 @@
     const std::string* id =
         find_header(from.parser.headers, this->options.correlation_header);
     if (id == nullptr)
-        return from.parser.status >= first_error_status;
+        return from.parser.status >= first_error_status && !from.used &&
+               from.passed_over == 0;
     return *id == from.correlation;
 }
 
@@ -344,9 +384,11 @@
 void client::implementation::finish(connection& used, call_result outcome, bool keep)
 {
     this->calls.erase(used.call);
+    this->count_body(used, 0);
     this->finished.push_back({used.call, std::move(used.done), std::move(outcome)});
     event_active(this->deliver_event.get(), 0, 0);
     used.call = 0;
+    used.used = true;
     const std::optional<duration> stated =
         stated_idle_time(this->finished.back().outcome.answer.headers);
     const duration most = stated.value_or(std::chrono::seconds(4));
@@ -411,6 +453,7 @@
         return;
     connection& used = *found->second;
     this->calls.erase(found);
+    this->count_body(used, 0);
     this->abort(used);
 }
 
--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -148,7 +148,9 @@
     // belongs to an earlier request and is dropped. Empty: answers aren't checked.
     std::string correlation_header;
     std::size_t max_answer = std::size_t{16} << 20U; // bytes of one answer's body
-    std::size_t max_idle_connections = 16;           // to one address
+    // Bytes of the bodies of all answers that are being read.
+    std::size_t max_buffered = std::size_t{64} << 20U;
+    std::size_t max_idle_connections = 16; // to one address
 };
 
 class client
--- a/pistachiospan/http1/http1_test.cpp
+++ b/pistachiospan/http1/http1_test.cpp
@@ -217,6 +217,38 @@
     BOOST_TEST((success.end == http1::call_end::timed_out));
 }
 
+// Guards against the second copy of an answer that comes late, when the connection is in
+// use again: the next caller must get its own answer, or none, even if the copy is a
+// failure and says no id.
+BOOST_AUTO_TEST_CASE(late_copy_of_an_answer_is_dropped)
+{
+    const std::string first = "HTTP/1.1 500 Bad\r\nId: 1\r\nContent-Length: 1\r\n\r\nx";
+    const std::string copy = "HTTP/1.1 500 Bad\r\nContent-Length: 1\r\n\r\nx";
+    const std::string own = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nown";
+    for (const std::string& late : {first, copy})
+    {
+        loop events;
+        raw_peer peer(events.base.get(), first, false);
+        http1::client client(events.base.get(), {.correlation_header = "Id"});
+        std::optional<http1::call_result> ended;
+        const auto done = [&](http1::call_result result)
+        {
+            ended = std::move(result);
+        };
+        client.send(raw_address, get("1"), {.timeout = 300ms}, done);
+        events.run([&] { return ended.has_value(); });
+        BOOST_TEST(ended->answer.status == 500);
+        ended.reset();
+        // The copy arrives after the second request was sent, before its own answer.
+        peer.bytes = late + own;
+        client.send(raw_address, get("2"), {.timeout = 300ms}, done);
+        events.run([&] { return ended.has_value(); });
+        BOOST_TEST(peer.connections == 1);
+        BOOST_TEST((ended->end == http1::call_end::answered));
+        BOOST_TEST(ended->answer.body == "own");
+    }
+}
+
 // Guards against a connection that is used again after bytes that belong to no request.
 BOOST_AUTO_TEST_CASE(connection_with_extra_bytes_is_not_used_again)
 {
--- a/pistachiospan/http1/parser.cpp
+++ b/pistachiospan/http1/parser.cpp
@@ -14,6 +14,8 @@
 
 constexpr int first_final_status = 200;
 
+constexpr std::uint64_t most_reserved = std::uint64_t{64} << 10U;
+
 // http-parser counts header bytes over all messages of one call as well; this bound is
 // above any that a server sets.
 constexpr std::uint32_t parser_header_bound = 1U << 20U;
@@ -184,8 +186,9 @@
         me.problem = parse_error::body_too_large;
         return stop_parsing;
     }
+    // A length that is only announced takes no memory.
     if (announced)
-        me.body.reserve(of->content_length);
+        me.body.reserve(std::min<std::uint64_t>(of->content_length, most_reserved));
     return me.no_body && me.status >= first_final_status ? skip_body : 0;
 }
 
