Stop malformed input and unexpected errors at one message

Shown by tests that failed before: an entry of the registry whose address can't be read ended the process when a request was sent to it, and so did any exception in a callback of the loop. A rate that is no number in one report stayed in the sums of all accounts.

Change: exceptions in callbacks are logged (internal_error) and end that callback; a request whose handling failed loses its connection without an answer. Addresses are checked where they are read, and an unreadable one is a call that was not sent. Reports with impossible figures are refused.

--- a/pistachiospan/allowance/tokens.cpp
+++ b/pistachiospan/allowance/tokens.cpp
@@ -37,7 +37,7 @@
     {
         return read(all);
     }
-    catch (const nlohmann::json::exception& problem)
+    catch (const std::exception& problem)
     {
         return malformed(problem.what());
     }
--- a/pistachiospan/cell/digest.cpp
+++ b/pistachiospan/cell/digest.cpp
@@ -85,7 +85,7 @@
         made.coordinator = std::move(report.value());
         return made;
     }
-    catch (const nlohmann::json::exception& problem)
+    catch (const std::exception& problem)
     {
         return failure(errc::invalid_argument,
                        std::string("digest is malformed: ") + problem.what());
--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -75,6 +75,13 @@
     implementation(event_base* base, edge_options options, translation words,
                    store_access store);
 
+    ~implementation()
+    {
+        event_loop::set_error_handler(nullptr);
+    }
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+
     void stop();
     void reload(const edge_options& next);
 
@@ -194,6 +201,10 @@
       exit_timer(base, [this] { this->finish_when_idle(); })
 {
     this->first_check.start(this->vms.next_check(monotonic_now()));
+    event_loop::set_error_handler(
+        [this](std::string_view problem) {
+            this->log("internal_error", {{"problem", problem}});
+        });
     const auto serve = [this](const std::string& address, auto answer)
     {
         if (address.empty())
--- a/pistachiospan/edge/peer_link.cpp
+++ b/pistachiospan/edge/peer_link.cpp
@@ -1,7 +1,8 @@
 #include "pistachiospan/edge/internal/peer_link.hpp"
 
+#include "pistachiospan/http1/internal/socket.hpp"
+
 #include <arpa/inet.h>
-#include <event2/util.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -23,17 +24,6 @@
 constexpr duration fetch_timeout = std::chrono::milliseconds(600);
 constexpr duration expiry_interval = std::chrono::milliseconds(250);
 
-std::optional<sockaddr_in> parse(const std::string& address)
-{
-    sockaddr_in parsed{};
-    int size = sizeof(parsed);
-    if (evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&parsed),
-                                   &size) != 0 ||
-        parsed.sin_family != AF_INET)
-        return std::nullopt;
-    return parsed;
-}
-
 std::string text_of(const sockaddr_in& address)
 {
     std::array<char, INET_ADDRSTRLEN> ip{};
@@ -43,7 +33,7 @@
 
 int open_socket(const std::string& address)
 {
-    const std::optional<sockaddr_in> local = parse(address);
+    const auto local = http1::internal::try_parse_address(address);
     const int made = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (made < 0 || !local ||
         bind(made, reinterpret_cast<const sockaddr*>(&*local), sizeof(*local)) != 0)
@@ -119,8 +109,8 @@
                                       reinterpret_cast<sockaddr*>(&from), &from_size);
         if (size <= 0)
             return;
-        this->hooks.received(text_of(from),
-                             {buffer.data(), static_cast<std::size_t>(size)});
+        const std::string_view bytes(buffer.data(), static_cast<std::size_t>(size));
+        event_loop::guarded([&] { this->hooks.received(text_of(from), bytes); });
     }
 }
 
@@ -131,7 +121,7 @@
         auto known = this->parsed.find(address);
         if (known == this->parsed.end())
         {
-            const std::optional<sockaddr_in> made = parse(address);
+            const auto made = http1::internal::try_parse_address(address);
             if (!made)
                 continue;
             known = this->parsed.emplace(address, *made).first;
--- /dev/null
+++ b/pistachiospan/event_loop/event_loop.cpp
@@ -0,0 +1,46 @@
+#include "pistachiospan/event_loop/event_loop.hpp"
+
+#include <iostream>
+
+namespace pistachiospan::event_loop
+{
+
+namespace
+{
+
+std::function<void(std::string_view)>& error_handler()
+{
+    static std::function<void(std::string_view)> handler;
+    return handler;
+}
+
+void report(std::string_view problem)
+{
+    if (error_handler())
+        error_handler()(problem);
+    else
+        std::cerr << "error in a callback: " << problem << '\n';
+}
+
+} // namespace
+
+void set_error_handler(std::function<void(std::string_view)> handler)
+{
+    error_handler() = std::move(handler);
+}
+
+bool guarded(const std::function<void()>& action)
+{
+    try
+    {
+        action();
+        return true;
+    }
+    catch (const std::exception& problem)
+    {
+        report(problem.what());
+    }
+    return false;
+}
+
+} // namespace pistachiospan::event_loop
--- a/pistachiospan/fleet/report.cpp
+++ b/pistachiospan/fleet/report.cpp
@@ -2,6 +2,9 @@
 
 #include "pistachiospan/fleet/fleet.hpp"
 
+#include <algorithm>
+#include <stdexcept>
+
 namespace pistachiospan::fleet
 {
 
@@ -11,6 +14,25 @@
 constexpr std::size_t brief_fields = 13;
 constexpr std::size_t whole_fields = 19;
 
+constexpr double highest_rate = 1e9; // requests per second
+
+// A rate or part that can be reckoned with.
+double amount_of(const nlohmann::json& from)
+{
+    const double value = from.get<double>();
+    if (!(value >= 0 && value <= highest_rate))
+        throw std::invalid_argument("an amount is out of range");
+    return value;
+}
+
+std::map<std::string, double> amounts_of(const nlohmann::json& from)
+{
+    std::map<std::string, double> all;
+    for (const auto& [name, value] : from.items())
+        all[name] = amount_of(value);
+    return all;
+}
+
 // Bits of a report's state.
 constexpr unsigned ready_bit = 1;
 constexpr unsigned draining_bit = 2;
@@ -35,7 +57,7 @@
         vms.push_back({.vm = {each.at(0).get<std::string>()},
                        .peer_address = each.at(1).get<std::string>(),
                        .caller_address = each.at(2).get<std::string>(),
-                       .capacity = each.at(3).get<double>(),
+                       .capacity = amount_of(each.at(3)),
                        .usable = each.at(4).get<bool>()});
     return vms;
 }
@@ -89,15 +111,14 @@
                 .registry_change = all.at(7).get<std::uint64_t>(),
                 .store_age = std::chrono::milliseconds(all.at(8).get<std::uint32_t>())};
     for (const auto& [account, rate] : all.at(9).items())
-        made.demand.push_back({.account = account, .rate = rate.get<double>()});
+        made.demand.push_back({.account = account, .rate = amount_of(rate)});
     for (const auto& [service, figures] : all.at(10).items())
-        made.services.push_back(
-            {.service = service,
-             .rate = figures.at(0).get<double>(),
-             .bound = figures.at(1).get<std::map<std::string, double>>()});
+        made.services.push_back({.service = service,
+                                 .rate = amount_of(figures.at(0)),
+                                 .bound = amounts_of(figures.at(1))});
     for (const auto& [id, started] : all.at(11).items())
         made.leaving.push_back({.id = id, .started = started.get<std::int64_t>()});
-    made.heard_part = all.at(12).get<double>();
+    made.heard_part = std::min(amount_of(all.at(12)), 1.0);
     return made;
 }
 
@@ -108,7 +129,7 @@
     made.data_centre = all.at(13).get<std::string>();
     made.peer_address = all.at(14).get<std::string>();
     made.caller_address = all.at(15).get<std::string>();
-    made.capacity = all.at(16).get<double>();
+    made.capacity = amount_of(all.at(16));
     made.vms = decode_vms(all.at(17));
     made.coordinators = decode_coordinators(all.at(18));
     return made;
@@ -163,7 +184,7 @@
     {
         return all.size() == brief_fields ? decode_brief(all) : decode_whole(all);
     }
-    catch (const nlohmann::json::exception& problem)
+    catch (const std::exception& problem)
     {
         return failure(errc::invalid_argument,
                        std::string("report of a VM is malformed: ") + problem.what());
--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -91,6 +91,7 @@
         time_point idle_since;
         std::string unsent; // the request, until the connection is open
         bool connected = false;
+        bool unreachable = false;    // its address can't be read
         bool used = false;           // by an earlier call
         std::size_t received = 0;    // bytes of this call
         std::size_t passed_over = 0; // answers in this call
@@ -100,6 +101,7 @@
     static void on_read(bufferevent*, void* user);
     static void on_event(bufferevent*, short what, void* user);
 
+    void note_event(connection& on, short what);
     connection* take_idle(const std::string& address, duration max_idle);
     connection& connect(const std::string& address);
     std::string serialize(const request& outgoing, const std::string& address) const;
@@ -191,7 +193,8 @@
         on.timer.start(how.timeout);
         return;
     }
-    on.timer.start(std::min(how.timeout, how.connect_timeout));
+    on.timer.start(on.unreachable ? duration(0)
+                                  : std::min(how.timeout, how.connect_timeout));
 }
 
 client::implementation::connection*
@@ -224,16 +227,25 @@
     bufferevent_setcb(made.socket.get(), &implementation::on_read, nullptr,
                       &implementation::on_event, &made);
     bufferevent_enable(made.socket.get(), EV_READ | EV_WRITE);
-    const sockaddr_in remote = internal::parse_address(address);
-    // A failure is reported through on_event, also one that shows at once.
-    bufferevent_socket_connect(
-        made.socket.get(), reinterpret_cast<const sockaddr*>(&remote), sizeof(remote));
+    // A failure is reported through on_event, also one that shows at once. An address
+    // that can't be read fails like one that does not answer.
+    if (const auto remote = internal::try_parse_address(address))
+        bufferevent_socket_connect(made.socket.get(),
+                                   reinterpret_cast<const sockaddr*>(&*remote),
+                                   sizeof(*remote));
+    else
+        made.unreachable = true;
     return made;
 }
 
 void client::implementation::on_event(bufferevent*, short what, void* user)
 {
-    auto& on = *static_cast<connection*>(user);
+    event_loop::guarded([what, &on = *static_cast<connection*>(user)]
+                        { on.owner.note_event(on, what); });
+}
+
+void client::implementation::note_event(connection& on, short what)
+{
     if ((what & BEV_EVENT_CONNECTED) != 0)
     {
         internal::tune(bufferevent_getfd(on.socket.get()));
@@ -246,7 +258,7 @@
         return;
     }
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
-        on.owner.on_end(on, what);
+        this->on_end(on, what);
 }
 
 void client::implementation::on_end(connection& ended, short what)
@@ -280,10 +292,14 @@
 void client::implementation::on_read(bufferevent*, void* user)
 {
     auto& from = *static_cast<connection*>(user);
-    if (from.call == 0)
-        from.owner.close(from); // bytes that belong to no request
-    else
-        from.owner.feed(from);
+    event_loop::guarded(
+        [&from]
+        {
+            if (from.call == 0)
+                from.owner.close(from); // bytes that belong to no request
+            else
+                from.owner.feed(from);
+        });
 }
 
 void client::implementation::feed(connection& from)
@@ -438,7 +454,7 @@
     this->delivering.swap(this->finished);
     for (finished_call& each : this->delivering)
         if (each.done)
-            each.done(std::move(each.outcome));
+            event_loop::guarded([&each] { each.done(std::move(each.outcome)); });
     this->delivering.clear();
 }
 
--- a/pistachiospan/http1/headers.cpp
+++ b/pistachiospan/http1/headers.cpp
@@ -1,4 +1,5 @@
 #include "pistachiospan/http1/http1.hpp"
+#include "pistachiospan/http1/internal/socket.hpp"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/algorithm/string/split.hpp>
@@ -10,6 +11,11 @@
 namespace pistachiospan::http1
 {
 
+bool is_address(const std::string& text)
+{
+    return internal::try_parse_address(text).has_value();
+}
+
 bool equal_names(std::string_view left, std::string_view right)
 {
     const auto lower = [](char letter)
--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -41,6 +41,9 @@
 
 bool equal_names(std::string_view left, std::string_view right);
 
+// True for IPv4:port.
+bool is_address(const std::string& text);
+
 // True for headers that concern one connection only, by themselves or because
 // `Connection` names them. Content-Length is one of them: each side frames its own body.
 bool is_connection_header(const header_list& all, std::string_view name);
--- a/pistachiospan/http1/http1_test.cpp
+++ b/pistachiospan/http1/http1_test.cpp
@@ -173,6 +173,53 @@
     BOOST_TEST((ended.value().end == http1::call_end::not_sent));
 }
 
+// Guards against an address that ends the process instead of the call.
+BOOST_AUTO_TEST_CASE(address_that_cannot_be_read_is_not_sent)
+{
+    loop events;
+    http1::client client(events.base.get(), {});
+    std::optional<http1::call_result> ended;
+    client.send("nowhere", get("7"), {},
+                [&](http1::call_result result) { ended = std::move(result); });
+    events.run([&] { return ended.has_value(); });
+    BOOST_TEST_REQUIRE(ended.has_value());
+    BOOST_TEST((ended->end == http1::call_end::not_sent));
+}
+
+// Guards against an error in the handling of one request that ends all of them: only its
+// own connection is closed, without an answer.
+BOOST_AUTO_TEST_CASE(error_in_a_hook_ends_one_connection)
+{
+    loop events;
+    std::vector<std::string> reported;
+    event_loop::set_error_handler([&](std::string_view problem)
+                                  { reported.emplace_back(problem); });
+    std::unique_ptr<http1::server> server;
+    server = std::make_unique<http1::server>(
+        events.base.get(), server_address,
+        http1::server_hooks{
+            .received = [&](http1::exchange_id id, const http1::request& asked)
+            {
+                if (asked.target == "/bad")
+                    throw std::runtime_error("a defect");
+                server->respond(id, {.status = 200});
+            }});
+    http1::client client(events.base.get(), {});
+    const auto call = [&](const std::string& target)
+    {
+        std::optional<http1::call_result> ended;
+        client.send(server_address, {.method = "GET", .target = target}, {.timeout = 1s},
+                    [&](http1::call_result result) { ended = std::move(result); });
+        events.run([&] { return ended.has_value(); });
+        return ended->end;
+    };
+    BOOST_TEST((call("/bad") == http1::call_end::broken));
+    BOOST_TEST((call("/good") == http1::call_end::answered));
+    BOOST_TEST(server->connections() == 1U);
+    BOOST_TEST(reported == std::vector<std::string>{"a defect"});
+    event_loop::set_error_handler(nullptr);
+}
+
 // Guards against a cut answer that passes for a whole one.
 BOOST_AUTO_TEST_CASE(cut_answers_are_broken)
 {
--- a/pistachiospan/http1/internal/socket.hpp
+++ b/pistachiospan/http1/internal/socket.hpp
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 
 #include <memory>
+#include <optional>
 
 namespace pistachiospan::http1::internal
 {
@@ -24,7 +25,9 @@
 
 using bufferevent_ptr = std::unique_ptr<bufferevent, bufferevent_deleter>;
 
-// Throws std::invalid_argument if the text is not ip:port.
+// Nothing if the text is not ip:port.
+std::optional<sockaddr_in> try_parse_address(const std::string& address);
+// Throws std::invalid_argument instead.
 sockaddr_in parse_address(const std::string& address);
 
 // Sends small writes at once and ends a connection whose peer has gone silent.
--- a/pistachiospan/http1/server.cpp
+++ b/pistachiospan/http1/server.cpp
@@ -230,7 +230,7 @@
 void server::implementation::on_accept(evconnlistener*, evutil_socket_t socket, sockaddr*,
                                        int, void* self)
 {
-    static_cast<implementation*>(self)->accept(socket);
+    event_loop::guarded([=] { static_cast<implementation*>(self)->accept(socket); });
 }
 
 void server::implementation::accept(evutil_socket_t socket)
@@ -288,8 +288,14 @@
 void server::implementation::on_read(bufferevent*, void* user)
 {
     auto& from = *static_cast<connection*>(user);
-    if (!from.feeding)
-        from.owner.feed(from);
+    if (from.feeding)
+        return;
+    implementation& owner = from.owner;
+    const connection_id id = from.id;
+    const bool good = event_loop::guarded([&] { owner.feed(from); });
+    // The request whose handling failed gets no answer: it may have run.
+    if (!good && owner.open.contains(id))
+        owner.close(*owner.open.at(id));
 }
 
 // Parses what was read until a request waits for its answer. The hook may end the
@@ -413,7 +419,7 @@
 void server::implementation::on_write(bufferevent*, void* user)
 {
     auto& written = *static_cast<connection*>(user);
-    written.owner.after_write(written);
+    event_loop::guarded([&written] { written.owner.after_write(written); });
 }
 
 // The answer has left: closes the sending side, and the rest when the caller has closed.
@@ -429,7 +435,7 @@
 {
     auto& ended = *static_cast<connection*>(user);
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
-        ended.owner.close(ended);
+        event_loop::guarded([&ended] { ended.owner.close(ended); });
 }
 
 void server::implementation::on_time_over(connection& late)
--- a/pistachiospan/http1/socket.cpp
+++ b/pistachiospan/http1/socket.cpp
@@ -18,16 +18,24 @@
 
 } // namespace
 
-sockaddr_in parse_address(const std::string& address)
+std::optional<sockaddr_in> try_parse_address(const std::string& address)
 {
     sockaddr_in parsed{};
     int size = sizeof(parsed);
     auto* const any = reinterpret_cast<sockaddr*>(&parsed);
     if (evutil_parse_sockaddr_port(address.c_str(), any, &size) != 0 ||
         any->sa_family != AF_INET || parsed.sin_port == 0)
+        return std::nullopt;
+    return parsed;
+}
+
+sockaddr_in parse_address(const std::string& address)
+{
+    const std::optional<sockaddr_in> parsed = try_parse_address(address);
+    if (!parsed)
         throw std::invalid_argument("address \"" + address +
                                     "\" is not IPv4:port; correct it");
-    return parsed;
+    return *parsed;
 }
 
 void tune(int socket)
