--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -28,6 +28,9 @@
 constexpr duration exit_margin = std::chrono::milliseconds(400);
 constexpr duration exit_check = std::chrono::milliseconds(50);
 
+// A VM that starts reads the store itself when it has found nobody to follow by then.
+constexpr duration longest_search = std::chrono::milliseconds(400);
+
 // Queries for tokens are looked at this often.
 constexpr duration token_interval = std::chrono::milliseconds(20);
 
@@ -142,6 +145,7 @@
     periodic_timer peer_checker;
     one_shot_timer token_timer; // while answers about tokens are awaited
     one_shot_timer first_check;
+    one_shot_timer table_starter;
     one_shot_timer exit_timer;
     std::uint64_t answers = 0;
     bool stopping = false;
@@ -198,9 +202,11 @@
                       this->check_tokens();
                   }),
       first_check(base, [this] { this->check_peers(); }),
+      table_starter(base, [this] { this->tables.start(); }),
       exit_timer(base, [this] { this->finish_when_idle(); })
 {
     this->first_check.start(this->vms.next_check(monotonic_now()));
+    this->table_starter.start(longest_search);
     event_loop::set_error_handler(
         [this](std::string_view problem) {
             this->log("internal_error", {{"problem", problem}});
@@ -441,6 +447,12 @@
             this->known_upstreams.set_vm_count(count);
             this->requests.set_vm_count(count);
         },
+        .role_changed =
+            [this](cell::role next)
+        {
+            if (next != cell::role::searching)
+                this->tables.start();
+        },
         .token_done = [this](allowance::ticket id, const allowance::admission& made)
         { this->requests.finish_admission(monotonic_now(), id, made); },
         .log =
--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -11,6 +11,10 @@
                    peer_link& peers, mirror::table_mirror& copy, follower_hooks hooks)
     : options(options), store(store), peers(peers), copy(copy), hooks(std::move(hooks)),
       next(base, [this] { this->read(); }), backoff(options.first_backoff)
+{
+}
+
+void follower::start()
 {
     this->next.start(duration(0));
 }
@@ -130,6 +134,8 @@
 
 void follower::reconsider(time_point now)
 {
+    if (this->reads == 0)
+        return;
     const duration most = this->options.wait + this->options.late_after;
     if (this->source.empty() && now - this->began <= most)
         return;
@@ -148,7 +154,7 @@
 
 bool follower::hurry(time_point since)
 {
-    if (this->source.empty() && this->began >= since)
+    if (this->reads == 0 || (this->source.empty() && this->began >= since))
         return false;
     this->store_first = true;
     this->restart();
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -49,6 +49,8 @@
     follower(event_base* base, follower_options options, const store_access& store,
              peer_link& peers, mirror::table_mirror& copy, follower_hooks hooks);
 
+    // Begins to read.
+    void start();
     // Gives up the pending read, which may hang on a dead connection, and begins another.
     void restart();
     // The same, from the store, since another VM has known more from this time on. A read
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -53,6 +53,10 @@
     store_view(event_base* base, store_view_options options, const store_access& store,
                peer_link& peers, fleet_node::node& vms, store_view_hooks hooks);
 
+    // Begins to follow the tables, once: when it is known whom to follow, or at the latest
+    // when a VM that starts should wait no longer.
+    void start();
+
     const mirror::table_mirror& copy(table which) const;
 
     // Removes what is due and tells the VMs that follow this one what has changed.
@@ -110,6 +114,7 @@
     store_view_hooks hooks;
     followed_table operator_rows;
     followed_table upstreams;
+    bool started = false;
     time_point store_tried;
     time_point behind_since;
     std::optional<time_point> version_behind_since;
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -83,6 +83,14 @@
     this->publish_changes();
 }
 
+void store_view::start()
+{
+    if (std::exchange(this->started, true))
+        return;
+    this->operator_rows.reads.start();
+    this->upstreams.reads.start();
+}
+
 const mirror::table_mirror& store_view::copy(table which) const
 {
     return which == table::operator_rows ? this->operator_rows.copy
--- a/pistachiospan/fleet_node/fleet_node.cpp
+++ b/pistachiospan/fleet_node/fleet_node.cpp
@@ -331,6 +331,7 @@
     this->hooks.log("role", {{"role", cell::name_of(next)},
                              {"epoch", this->own.epoch()},
                              {"coordinator", this->own.coordinator_address()}});
+    this->hooks.role_changed(next);
     if (next != cell::role::coordinator)
         return;
     std::map<std::string, std::string> known;
--- a/pistachiospan/fleet_node/fleet_node.hpp
+++ b/pistachiospan/fleet_node/fleet_node.hpp
@@ -76,6 +76,7 @@
     // Another VM has this version of the configuration.
     std::function<void(time_point, const vm_id&, std::uint64_t version)> version_told;
     std::function<void(std::size_t count)> vm_count_changed;
+    std::function<void(cell::role)> role_changed;
     // The answer to ask_token().
     std::function<void(allowance::ticket, const allowance::admission&)> token_done;
     std::function<void(std::string_view event, const nlohmann::ordered_json&)> log;
--- a/pistachiospan/fleet_node/malformed_test.cpp
+++ b/pistachiospan/fleet_node/malformed_test.cpp
@@ -107,6 +107,7 @@
             .leaving_told = [](time_point, std::span<const upstreams::upstream_start>) {},
             .version_told = [](time_point, const vm_id&, std::uint64_t) {},
             .vm_count_changed = [](std::size_t) {},
+            .role_changed = [](cell::role) {},
             .token_done = [this](allowance::ticket, const allowance::admission& made)
             { this->admitted += made.admitted ? 1 : 0; },
             .log =
--- a/pistachiospan/fleet_node/model_test.hpp
+++ b/pistachiospan/fleet_node/model_test.hpp
@@ -258,6 +258,7 @@
             { this->learn_leaving(at, told); },
             .version_told = [](time_point, const vm_id&, std::uint64_t) {},
             .vm_count_changed = [](std::size_t) {},
+            .role_changed = [](cell::role) {},
             .token_done =
                 [this](allowance::ticket account, const allowance::admission& made)
             { this->note_admission(account, made); },
