Answer what the kernel has accepted before a planned stop

Shown by a test that failed before in three of its four cases: at the end of the time in which a stopping VM takes requests, a connection that waited in the listener's queue was reset, one whose request had arrived but was not read yet was closed, and so was one made a moment ago.

Test: stop_answers_requests_that_were_just_accepted.

--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -105,8 +105,10 @@
 
     // Each further answer carries `Connection: close`.
     void begin_drain();
+    // The same, and takes no connection but those that the kernel has already taken.
     void stop_accepting();
-    // Closes the connections on which no request is being read or answered.
+    // Closes the connections on which no request is being read or answered, and none is
+    // likely to come in this moment. To be called again while there are connections.
     void close_idle();
 
     std::size_t connections() const;
--- a/pistachiospan/http1/http1_test.cpp
+++ b/pistachiospan/http1/http1_test.cpp
@@ -402,6 +402,93 @@
     BOOST_TEST(events.run([&] { return server.connections() == 0; }));
 }
 
+// A caller with a plain socket, which the loop of the server does not drive.
+struct plain_caller
+{
+    plain_caller() : socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const sockaddr_in to = http1::internal::parse_address(server_address);
+        connect(this->socket, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+    }
+    ~plain_caller()
+    {
+        ::close(this->socket);
+    }
+    plain_caller(const plain_caller&) = delete;
+    plain_caller& operator=(const plain_caller&) = delete;
+
+    void send(std::string_view bytes) const
+    {
+        ::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    // What has arrived so far.
+    std::string text() const
+    {
+        std::array<char, 4096> buffer{};
+        const ssize_t size =
+            recv(this->socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        return size > 0 ? std::string(buffer.data(), static_cast<std::size_t>(size))
+                        : std::string();
+    }
+
+    int socket;
+};
+
+// Pattern: a planned stop under load. Guards against requests that are cut off without an
+// answer although their connection was taken by the kernel: one that waits to be
+// accepted, one whose bytes have not been read yet, one that is half read, and one on a
+// connection that was made a moment ago.
+BOOST_AUTO_TEST_CASE(stop_answers_requests_that_were_just_accepted)
+{
+    const std::string whole = "GET /x HTTP/1.1\r\nHost: a\r\nId: 7\r\n\r\n";
+    loop events;
+    std::unique_ptr<http1::server> server;
+    server = std::make_unique<http1::server>(
+        events.base.get(), server_address,
+        http1::server_hooks{.received = [&](http1::exchange_id id, const http1::request&)
+                            {
+                                server->respond(id, {.status = 200});
+                            }});
+    const plain_caller half;
+    const plain_caller unread;
+    half.send(whole.substr(0, 20));
+    events.run([&] { return server->connections() == 2; });
+    events.run([] { return false; });
+    const plain_caller fresh;
+    events.run([&] { return server->connections() == 3; });
+    unread.send(whole);
+    const plain_caller waiting;
+    waiting.send(whole);
+    server->stop_accepting();
+    server->close_idle();
+    fresh.send(whole);
+    half.send(whole.substr(20));
+    std::map<const plain_caller*, std::string> answers;
+    events.run(
+        [&]
+        {
+            server->close_idle();
+            std::size_t answered = 0;
+            for (const plain_caller* each : {&half, &unread, &fresh, &waiting})
+            {
+                answers[each] += each->text();
+                answered += answers[each].starts_with("HTTP/1.1 200") ? 1 : 0;
+            }
+            return answered == 4;
+        });
+    BOOST_TEST(answers[&half].starts_with("HTTP/1.1 200"));
+    BOOST_TEST(answers[&unread].starts_with("HTTP/1.1 200"));
+    BOOST_TEST(answers[&fresh].starts_with("HTTP/1.1 200"));
+    BOOST_TEST(answers[&waiting].starts_with("HTTP/1.1 200"));
+    BOOST_TEST(events.run(
+        [&]
+        {
+            server->close_idle();
+            return server->connections() == 0;
+        }));
+}
+
 // Guards against a request that the kernel delivers long after it was given up, when a
 // link that was cut is whole again: it then runs for nobody, at an upstream that may have
 // been drained since (own day cut-zones: 7 s later).
--- a/pistachiospan/http1/server.cpp
+++ b/pistachiospan/http1/server.cpp
@@ -4,6 +4,7 @@
 #include "pistachiospan/http1/internal/socket.hpp"
 
 #include <event2/listener.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -143,11 +144,14 @@
         {
         }
 
-        // No byte waits to be read or written.
+        // No byte waits to be read or written, here or in the kernel.
         bool is_quiet() const
         {
+            int unread = 0;
+            const int handle = bufferevent_getfd(this->socket.get());
             return evbuffer_get_length(bufferevent_get_input(this->socket.get())) == 0 &&
-                   evbuffer_get_length(bufferevent_get_output(this->socket.get())) == 0;
+                   evbuffer_get_length(bufferevent_get_output(this->socket.get())) == 0 &&
+                   ioctl(handle, FIONREAD, &unread) == 0 && unread == 0;
         }
 
         implementation& owner;
@@ -469,17 +473,31 @@
 void server::implementation::stop_accepting()
 {
     this->draining = true;
+    if (!this->listener)
+        return;
+    // Closing the listener resets the connections that wait in it.
+    const int waiting = evconnlistener_get_fd(this->listener.get());
+    while (true)
+    {
+        const int socket =
+            accept4(waiting, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket < 0)
+            break;
+        this->accept(socket);
+    }
     this->listener.reset();
 }
 
 void server::implementation::close_idle()
 {
+    const time_point latest = monotonic_now() - least_idle;
     std::vector<connection*> idle;
-    for (const auto& [id, each] : this->open)
+    for (connection* each : this->idle_order)
     {
-        if (each->exchange == 0 && each->parser.state() == parse_state::idle &&
-            each->is_quiet())
-            idle.push_back(each.get());
+        if (each->idle_since > latest)
+            break;
+        if (each->is_quiet())
+            idle.push_back(each);
     }
     for (connection* each : idle)
         this->close(*each);
