Take an answer that arrived while the VM stood still

Shown by a test that failed before: after a freeze that outlasts a call, its time-out ran before the answer that had arrived was read, and the answer was thrown away.

Change: what has arrived when the time of a call is over is read first. Tests: answer_that_waits_after_a_freeze_is_taken, request_that_waits_after_a_freeze_is_taken (no finding).

--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -4,9 +4,11 @@
 #include "pistachiospan/http1/internal/socket.hpp"
 
 #include <event2/bufferevent.h>
+#include <sys/ioctl.h>
 
 #include <cstring>
 #include <unordered_map>
+#include <utility>
 
 namespace pistachiospan::http1
 {
@@ -26,6 +28,8 @@
 
 // Interim answers, and answers to earlier requests, that one call passes over.
 constexpr std::size_t most_passed_over = 16;
+// For what has arrived when the time of a call is over.
+constexpr duration read_out_time = std::chrono::milliseconds(2);
 // Bytes of one call besides its answer's body: heads, framing, and what is passed over.
 constexpr std::size_t most_framing = std::size_t{1} << 20U;
 
@@ -93,6 +97,7 @@
         bool connected = false;
         bool unreachable = false;    // its address can't be read
         bool used = false;           // by an earlier call
+        bool read_out = false;       // what had arrived by the end of the call's time
         std::size_t received = 0;    // bytes of this call
         std::size_t passed_over = 0; // answers in this call
         std::size_t buffered = 0;    // bytes of the body, counted in the total
@@ -112,6 +117,7 @@
     void take_answer(connection& from);
     bool belongs(const connection& from) const;
     void on_end(connection& ended, short what);
+    static bool has_unread(const connection& from);
     void on_time_over(connection& late);
     void finish(connection& used, call_result outcome, bool keep);
     void keep_idle(connection& used, duration most);
@@ -171,6 +177,7 @@
     used->deadline = monotonic_now() + how.timeout;
     used->unsent = this->serialize(outgoing, address);
     used->received = 0;
+    used->read_out = false;
     used->passed_over = 0;
     used->parser.next();
     if (outgoing.method == "HEAD")
@@ -383,6 +390,14 @@
     this->finish(from, std::move(outcome), keep_alive && quiet && sent);
 }
 
+bool client::implementation::has_unread(const connection& from)
+{
+    int unread = 0;
+    return evbuffer_get_length(bufferevent_get_input(from.socket.get())) > 0 ||
+           (ioctl(bufferevent_getfd(from.socket.get()), FIONREAD, &unread) == 0 &&
+            unread > 0);
+}
+
 void client::implementation::on_time_over(connection& late)
 {
     if (late.call == 0)
@@ -390,6 +405,13 @@
         this->close(late);
         return;
     }
+    // After a freeze of this process the answer may have arrived in time and wait to be
+    // read.
+    if (late.connected && !std::exchange(late.read_out, true) && has_unread(late))
+    {
+        late.timer.start(read_out_time);
+        return;
+    }
     const call_end end = late.connected ? call_end::timed_out : call_end::not_sent;
     const char* detail = late.connected ? "no answer in time" : "connect timed out";
     this->finish(late, {.end = end, .detail = detail}, false);
--- a/pistachiospan/http1/http1_test.cpp
+++ b/pistachiospan/http1/http1_test.cpp
@@ -489,6 +489,62 @@
         }));
 }
 
+// Pattern: a VM stands still for longer than the time of a call, while its answer
+// arrives. Guards against an answer that is thrown away although it is there.
+BOOST_AUTO_TEST_CASE(answer_that_waits_after_a_freeze_is_taken)
+{
+    loop events;
+    raw_peer peer(events.base.get(),
+                  "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok", false);
+    http1::client client(events.base.get(), {.correlation_header = "Id"});
+    std::optional<http1::call_result> ended;
+    client.send(raw_address, get("7"), {.timeout = 200ms},
+                [&](http1::call_result result) { ended = std::move(result); });
+    // The peer answers in its turn of the loop; the client does not see it before the
+    // freeze.
+    while (peer.received.empty())
+        event_base_loop(events.base.get(), EVLOOP_ONCE);
+    usleep(400'000);
+    events.run([&] { return ended.has_value(); });
+    BOOST_TEST_REQUIRE(ended.has_value());
+    BOOST_TEST((ended->end == http1::call_end::answered));
+    BOOST_TEST(ended->answer.body == "ok");
+}
+
+// Pattern: a VM stands still for longer than its connections may be idle, while requests
+// arrive. Guards against a connection that is closed with its request unread.
+BOOST_AUTO_TEST_CASE(request_that_waits_after_a_freeze_is_taken)
+{
+    loop events;
+    std::unique_ptr<http1::server> server;
+    server = std::make_unique<http1::server>(
+        events.base.get(), server_address,
+        http1::server_hooks{.received = [&](http1::exchange_id id, const http1::request&)
+                            {
+                                server->respond(id, {.status = 200});
+                            }});
+    server->set_limits({.header_timeout = 100ms, .idle_timeout = 200ms});
+    const plain_caller idle;
+    const plain_caller half;
+    events.run([&] { return server->connections() == 2; });
+    half.send("GET /x HTTP/1.1\r\n");
+    for (int step = 0; step < 5; ++step)
+        event_base_loop(events.base.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    idle.send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    half.send("Host: a\r\n\r\n");
+    usleep(400'000);
+    std::string answers[2];
+    events.run(
+        [&]
+        {
+            answers[0] += idle.text();
+            answers[1] += half.text();
+            return !answers[0].empty() && !answers[1].empty();
+        });
+    BOOST_TEST(answers[0].starts_with("HTTP/1.1 200"));
+    BOOST_TEST(answers[1].starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a request that the kernel delivers long after it was given up, when a
 // link that was cut is whole again: it then runs for nobody, at an upstream that may have
 // been drained since (own day cut-zones: 7 s later).
