--- a/pistachiospan/allowance/allowance.hpp
+++ b/pistachiospan/allowance/allowance.hpp
@@ -143,7 +143,7 @@
                       std::span<const std::string> data_centres);
 
 // Token buckets of accounts of which this VM may use a given part.
-struct pool_options
+struct token_pool_options
 {
     // Of the rate, in the bucket; with it the burst of the account does not count.
     std::optional<duration> capacity_time = std::nullopt;
@@ -153,7 +153,7 @@
 class pool
 {
 public:
-    explicit pool(pool_options options);
+    explicit pool(token_pool_options options);
 
     // As ledger::set_accounts().
     void set_accounts(time_point now, std::span<const configuration::account> accounts,
@@ -178,7 +178,7 @@
     double capacity(const bucket& of) const;
     void refill(time_point now, bucket& of) const;
 
-    pool_options options;
+    token_pool_options options;
     double part = 1;
     std::unordered_map<std::string, bucket> buckets;
 };
@@ -213,9 +213,9 @@
 {
     std::size_t data_centres = 1;
     ledger_options divided = {};
-    pool_options pooled = {};
+    token_pool_options pooled = {};
     // What is set aside for a time without the holder has no burst to speak of.
-    pool_options set_aside = {.capacity_time = std::chrono::milliseconds(300)};
+    token_pool_options set_aside = {.capacity_time = std::chrono::milliseconds(300)};
 };
 
 // Answers the VMs of a data centre, and others for the accounts that it holds.
@@ -259,7 +259,7 @@
     duration far_patience = std::chrono::milliseconds(300);
     // A VM that did not answer in time is not waited for again this long.
     duration silence = std::chrono::milliseconds(500);
-    pool_options own = {.capacity_time = std::chrono::milliseconds(300)};
+    token_pool_options own = {.capacity_time = std::chrono::milliseconds(300)};
 };
 
 // Where tokens of an account are asked for.
--- a/pistachiospan/allowance/pool.cpp
+++ b/pistachiospan/allowance/pool.cpp
@@ -38,7 +38,7 @@
     return found == data_centres.end() ? std::string() : *found;
 }
 
-pool::pool(pool_options options) : options(options) {}
+pool::pool(token_pool_options options) : options(options) {}
 
 double pool::capacity(const bucket& of) const
 {
--- a/pistachiospan/cell/cell.cpp
+++ b/pistachiospan/cell/cell.cpp
@@ -446,6 +446,7 @@
         }
     }
     std::vector<upstreams::service_demand> all;
+    all.reserve(sums.size());
     for (auto& [service, sum] : sums)
         all.push_back(std::move(sum));
     return all;
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -53,8 +53,8 @@
     store_view(event_base* base, store_view_options options, const store_access& store,
                peer_link& peers, fleet_node::node& vms, store_view_hooks hooks);
 
-    // Begins to follow the tables, once: when it is known whom to follow, or at the latest
-    // when a VM that starts should wait no longer.
+    // Begins to follow the tables, once: when it is known whom to follow, or at the
+    // latest when a VM that starts should wait no longer.
     void start();
 
     const mirror::table_mirror& copy(table which) const;
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -127,7 +127,7 @@
 // follows another region's reader, or whoever knows more.
 std::string store_view::choose_source(time_point now) const
 {
-    const std::string reader = this->vms.reader(now, this->store_age(now));
+    std::string reader = this->vms.reader(now, this->store_age(now));
     if (!reader.empty())
         return reader;
     const std::string stale = this->vms.coordinator_address();
@@ -135,7 +135,7 @@
         return this->try_store(now, this->vms.known_members()) ? std::string() : stale;
     if (this->reaches_store(now) || this->try_store(now, 1))
         return {};
-    const std::string remote = this->vms.remote_reader(now);
+    std::string remote = this->vms.remote_reader(now);
     if (!remote.empty())
         return remote;
     const auto best =
--- a/pistachiospan/fleet_node/tokens_test.cpp
+++ b/pistachiospan/fleet_node/tokens_test.cpp
@@ -22,6 +22,7 @@
 std::vector<configuration::account> accounts_of(const std::vector<double>& rates)
 {
     std::vector<configuration::account> all;
+    all.reserve(rates.size());
     for (const double rate : rates)
         all.push_back(
             {.name = "a" + std::to_string(all.size()), .rate = rate, .burst = rate});
--- a/pistachiospan/http1/http1_test.cpp
+++ b/pistachiospan/http1/http1_test.cpp
@@ -408,7 +408,8 @@
     plain_caller() : socket(::socket(AF_INET, SOCK_STREAM, 0))
     {
         const sockaddr_in to = http1::internal::parse_address(server_address);
-        connect(this->socket, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+        BOOST_TEST(connect(this->socket, reinterpret_cast<const sockaddr*>(&to),
+                           sizeof(to)) == 0);
     }
     ~plain_caller()
     {
