Let a data centre's part of a rate grow only as far as the others have heard why

Reports are overdue after 1.2 s; until then each side counted its own demand as grown and the other's as before, so both raised their parts and the fleet admitted 2,869 to 2,917 requests in 5 s where 2,832 are allowed.

Ruled out: the buckets of the VMs that lost their coordinator (they use what was set aside), and a shorter overdue time, which takes one lost report for a cut.

Change: coordinators say which report of each other one they heard last, and a part may exceed the one of the last report that all have heard only downwards. Overdue data centres are left out, since what they use is reserved by then.

--- a/pistachiospan/allowance/allowance.hpp
+++ b/pistachiospan/allowance/allowance.hpp
@@ -28,6 +28,7 @@
 
 #include "pistachiospan/configuration/configuration.hpp"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -101,12 +102,25 @@
     // the same figures.
     std::vector<demand> report_demand(time_point now, bool whole);
 
+    // A report with this number has told the demand as it is now.
+    void note_told(std::uint64_t report);
+    // All data centres that share the accounts have heard the reports up to this one. A
+    // part grows only as far as the others have heard why: one that is cut off goes on
+    // with the part that it had.
+    void confirm(time_point now, std::uint64_t report);
+
     // The part of the account that can be used here, 0 to 1.
     double part_of(std::string_view account) const;
     // With what is set aside for members that are not heard.
     double whole_part_of(std::string_view account) const;
 
 private:
+    struct told_part
+    {
+        std::uint64_t report = 0;
+        double part = 0;
+    };
+
     struct bucket
     {
         double rate = 0;
@@ -116,6 +130,8 @@
         double told = 0;           // demand in the last report
         std::uint32_t repeats = 0; // reports that still tell it
         remote_share others;
+        double confirmed_part = 1;
+        std::deque<told_part> told_parts; // that are not confirmed, oldest first
         time_point refilled;
         time_point decayed;
     };
@@ -124,6 +140,7 @@
     void decay(time_point now, bucket& of) const;
     double part(const bucket& of) const;
     double whole_part(const bucket& of) const;
+    double claimed_part(const bucket& of) const;
     double capacity(const bucket& of) const;
 
     ledger_options options;
--- a/pistachiospan/allowance/ledger.cpp
+++ b/pistachiospan/allowance/ledger.cpp
@@ -22,6 +22,10 @@
 // Rates below this are noise of the decaying estimate.
 constexpr double least_reported = 0.05; // requests per second
 
+// Reports whose confirmation is waited for; more are outstanding only when reports are
+// lost, and then the oldest do not count.
+constexpr std::size_t most_unconfirmed = 8;
+
 // Smaller changes of demand wait for the next whole report.
 constexpr double least_change = 1; // requests per second
 
@@ -91,7 +95,8 @@
     sum = std::max(0.0, sum + change.rate);
 }
 
-double ledger::whole_part(const bucket& of) const
+// The part of the account's limit that the reports give this data centre.
+double ledger::claimed_part(const bucket& of) const
 {
     const double least = of.rate * this->options.least_demand;
     const double own = of.told + least;
@@ -101,6 +106,11 @@
     return free * own / (own + others);
 }
 
+double ledger::whole_part(const bucket& of) const
+{
+    return std::min(this->claimed_part(of), of.confirmed_part);
+}
+
 double ledger::part(const bucket& of) const
 {
     return this->heard_part * this->whole_part(of);
@@ -182,6 +192,31 @@
     return all;
 }
 
+void ledger::note_told(std::uint64_t report)
+{
+    for (auto& [name, each] : this->buckets)
+    {
+        each.told_parts.push_back({.report = report, .part = this->claimed_part(each)});
+        if (each.told_parts.size() > most_unconfirmed)
+            each.told_parts.pop_front();
+    }
+}
+
+void ledger::confirm(time_point now, std::uint64_t report)
+{
+    for (auto& [name, each] : this->buckets)
+    {
+        if (each.told_parts.empty() || each.told_parts.front().report > report)
+            continue;
+        this->refill(now, each);
+        while (!each.told_parts.empty() && each.told_parts.front().report <= report)
+        {
+            each.confirmed_part = each.told_parts.front().part;
+            each.told_parts.pop_front();
+        }
+    }
+}
+
 double ledger::part_of(std::string_view account) const
 {
     const auto found = this->buckets.find(std::string(account));
--- a/pistachiospan/fleet/membership.cpp
+++ b/pistachiospan/fleet/membership.cpp
@@ -209,6 +209,33 @@
     return all;
 }
 
+std::vector<heard_report> membership::heard_reports() const
+{
+    std::vector<heard_report> all;
+    for (const auto& [data_centre, each] : this->peers)
+        if (!each.overdue)
+            all.push_back({.data_centre = data_centre,
+                           .started = each.said.started,
+                           .sequence = each.said.sequence});
+    return all;
+}
+
+std::uint64_t membership::confirmed_report() const
+{
+    std::uint64_t least = UINT64_MAX;
+    for (const auto& [data_centre, each] : this->peers)
+    {
+        if (each.overdue)
+            continue;
+        const auto found = std::ranges::find(each.said.heard, this->options.data_centre,
+                                             &heard_report::data_centre);
+        const bool heard =
+            found != each.said.heard.end() && found->started == this->self.started;
+        least = std::min(least, heard ? found->sequence : 0);
+    }
+    return least;
+}
+
 std::size_t membership::sharing_count() const
 {
     const auto count = std::ranges::count_if(this->peers, [](const auto& each)
--- a/pistachiospan/fleet/report.cpp
+++ b/pistachiospan/fleet/report.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-constexpr std::size_t brief_fields = 13;
-constexpr std::size_t whole_fields = 19;
+constexpr std::size_t brief_fields = 14;
+constexpr std::size_t whole_fields = 20;
 
 constexpr double highest_rate = 1e9; // requests per second
 
@@ -119,6 +119,10 @@
     for (const auto& [id, started] : all.at(11).items())
         made.leaving.push_back({.id = id, .started = started.get<std::int64_t>()});
     made.heard_part = std::min(amount_of(all.at(12)), 1.0);
+    for (const auto& [data_centre, figures] : all.at(13).items())
+        made.heard.push_back({.data_centre = data_centre,
+                              .started = figures.at(0).get<incarnation>(),
+                              .sequence = figures.at(1).get<std::uint64_t>()});
     return made;
 }
 
@@ -126,12 +130,12 @@
 {
     report made = decode_brief(all);
     made.brief = false;
-    made.data_centre = all.at(13).get<std::string>();
-    made.peer_address = all.at(14).get<std::string>();
-    made.caller_address = all.at(15).get<std::string>();
-    made.capacity = amount_of(all.at(16));
-    made.vms = decode_vms(all.at(17));
-    made.coordinators = decode_coordinators(all.at(18));
+    made.data_centre = all.at(14).get<std::string>();
+    made.peer_address = all.at(15).get<std::string>();
+    made.caller_address = all.at(16).get<std::string>();
+    made.capacity = amount_of(all.at(17));
+    made.vms = decode_vms(all.at(18));
+    made.coordinators = decode_coordinators(all.at(19));
     return made;
 }
 
@@ -145,6 +149,9 @@
     nlohmann::json leaving = nlohmann::json::object();
     for (const upstreams::upstream_start& each : from.leaving)
         leaving[each.id] = each.started;
+    nlohmann::json heard = nlohmann::json::object();
+    for (const heard_report& each : from.heard)
+        heard[each.data_centre] = {each.started, each.sequence};
     const auto age = std::min(
         std::chrono::floor<std::chrono::milliseconds>(from.store_age), oldest_told);
     nlohmann::json all = {from.vm.value,
@@ -159,7 +166,8 @@
                           std::move(demand),
                           encode_services(from.services),
                           std::move(leaving),
-                          static_cast<float>(from.heard_part)};
+                          static_cast<float>(from.heard_part),
+                          std::move(heard)};
     if (!from.brief)
     {
         all.push_back(from.data_centre);
--- a/pistachiospan/fleet_node/token_exchange.cpp
+++ b/pistachiospan/fleet_node/token_exchange.cpp
@@ -85,6 +85,16 @@
     this->authority.divided().change_remote(at, change);
 }
 
+void token_exchange::note_told(std::uint64_t report)
+{
+    this->authority.divided().note_told(report);
+}
+
+void token_exchange::confirm(time_point at, std::uint64_t report)
+{
+    this->authority.divided().confirm(at, report);
+}
+
 void token_exchange::share(time_point at, const fleet::membership& others,
                            std::size_t members, double heard_members)
 {
--- a/pistachiospan/fleet_node/tokens_test.cpp
+++ b/pistachiospan/fleet_node/tokens_test.cpp
@@ -191,6 +191,32 @@
     }
 }
 
+// Pattern: three of eight VMs are cut off, two of them coordinators, and 0.2 s later an
+// account sends several times its usual, before anybody can have noticed the cut. Guards
+// against both sides of the cut raising their parts at once.
+BOOST_AUTO_TEST_CASE(limits_hold_when_demand_grows_before_a_cut_is_noticed)
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U})
+    {
+        model all({.centres = 6,
+                   .vms = 8,
+                   .accounts = accounts_of({40, 120, 460}),
+                   .seed = seed});
+        all.run(4s);
+        callers many(all, seed);
+        many.run(8s, {});
+        for (const std::size_t at :
+             {std::size_t{0}, std::size_t{6}, all.coordinator_of(1)})
+            all.vms[at].cut_off = true;
+        many.run(200ms, {});
+        many.run(6s, {.of_rate = 6 * usual});
+        for (vm_state& each : all.vms)
+            each.cut_off = false;
+        many.run(3s, {.of_rate = 6 * usual});
+        BOOST_TEST_CONTEXT("seed " << seed) check_bounds(all);
+    }
+}
+
 // Guards against callers that wait long for a token, or for a refusal, when the VM that
 // would give it is gone.
 BOOST_AUTO_TEST_CASE(answers_about_tokens_are_prompt)
