Refuse at once, while stopping, what can't be answered before the process ends

Change: a VM that stops expects an answer within half of the time that is left, or refuses with a Retry-After of 10 ms, since another VM takes the request; and it hands upstreams no more time than it has, so that what still waits there is given back as not run.

Before: the new test fails (the request is sent). After: it passes.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -26,6 +26,8 @@
 constexpr double accepting_part = 0.5;
 // The process ends this long before it would be killed.
 constexpr duration exit_margin = std::chrono::milliseconds(400);
+// Time for a last answer to reach its caller before that.
+constexpr duration answer_margin = std::chrono::milliseconds(100);
 constexpr duration exit_check = std::chrono::milliseconds(50);
 
 // A VM that starts reads the store itself when it has found nobody to follow by then.
@@ -665,6 +667,8 @@
     this->stopping = true;
     this->stop_begun = monotonic_now();
     this->callers.begin_drain();
+    this->requests.begin_stop(this->stop_begun + this->options.grace - exit_margin -
+                              answer_margin);
     this->vms.tell(this->stop_begun);
     this->exit_timer.start(exit_check);
     this->log("stopping", {{"pending", this->requests.totals().pending},
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -83,6 +83,8 @@
         return "unknown_outcome";
     case refusal::deadline:
         return "deadline";
+    case refusal::stopping:
+        return "stopping";
     }
     return "unknown";
 }
@@ -212,11 +214,35 @@
     return this->options.admitted_part.at(at);
 }
 
+void gateway::begin_stop(time_point at)
+{
+    this->ends_at = at;
+}
+
+// Time that an upstream may take.
+duration gateway::time_for(time_point now, const pending& of) const
+{
+    const time_point end =
+        this->ends_at ? std::min(of.deadline, *this->ends_at) : of.deadline;
+    return end - now;
+}
+
+// Time within which an answer must be expected.
+duration gateway::time_to_expect(time_point now, const pending& of) const
+{
+    const auto usual =
+        std::chrono::duration_cast<duration>((of.deadline - now) * this->part_for(of));
+    if (!this->ends_at)
+        return usual;
+    const auto stopping = std::chrono::duration_cast<duration>(
+        (*this->ends_at - now) * this->options.stopping_part);
+    return std::min(usual, stopping);
+}
+
 void gateway::dispatch(time_point now, exchange_id exchange, pending& of)
 {
     static const std::vector<std::string> nowhere;
-    const duration left = of.deadline - now;
-    const auto part = std::chrono::duration_cast<duration>(left * this->part_for(of));
+    const duration expectable = this->time_to_expect(now, of);
     of.chosen = this->upstreams.select(
         now, {.service = of.service,
               .object = of.route->sticky ? std::string_view(of.request.object)
@@ -224,13 +250,16 @@
               .homes = of.route->homes,
               .more_homes = of.account == nullptr ? nowhere : of.account->homes,
               .excluded = of.excluded,
-              .time_left = part,
+              .time_left = expectable,
               .objective = of.route->latency_objective,
               .body_size = of.request.body_size,
               .retry = of.attempts > 0 || of.unsent > 0});
     if (!of.chosen.found)
     {
-        this->give_up(now, exchange, of, refusal_of(of.chosen.failure), {});
+        const bool too_late = of.chosen.failure == upstreams::selection_failure::too_late;
+        const refusal reason =
+            too_late && this->ends_at ? refusal::stopping : refusal_of(of.chosen.failure);
+        this->give_up(now, exchange, of, reason, {});
         return;
     }
     of.upstream = of.chosen.id;
@@ -243,7 +272,7 @@
          .upstream = of.upstream,
          .address = of.chosen.address,
          .account = of.account == nullptr ? std::string() : of.account->name,
-         .time_left = left,
+         .time_left = this->time_for(now, of),
          .repeatable = of.route->kind == configuration::repeatability::idempotent});
 }
 
@@ -351,7 +380,10 @@
         answer.reason = refusal::unknown_outcome;
     if (!of.may_have_run)
     {
-        answer.retry_after = std::max(of.chosen.retry_after, this->options.unknown_retry);
+        answer.retry_after =
+            reason == refusal::stopping
+                ? this->options.elsewhere_retry
+                : std::max(of.chosen.retry_after, this->options.unknown_retry);
         if (of.holds_token)
             this->hooks.return_token(of.account->name);
     }
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -99,6 +99,7 @@
     upstream_full,   // the upstreams that were asked refused it as not run
     unknown_outcome, // it may have run
     deadline,        // no answer in time; it may have run
+    stopping,        // no answer is expected before this process ends
 };
 
 std::string_view name_of(refusal reason);
@@ -160,8 +161,12 @@
     // Failed connections do not reach an upstream; bounds the search for one that
     // answers.
     std::uint32_t most_unsent = 3;
-    duration unknown_retry = std::chrono::milliseconds(200); // after a full upstream
-    duration start_retry = std::chrono::milliseconds(300);   // without a configuration
+    duration unknown_retry = std::chrono::milliseconds(200);  // after a full upstream
+    duration start_retry = std::chrono::milliseconds(300);    // without a configuration
+    duration elsewhere_retry = std::chrono::milliseconds(10); // another VM takes it
+    // While this process stops, an answer must be expected within this part of the time
+    // that is left: the upstream may take longer than expected.
+    double stopping_part = 0.5;
     std::uint64_t seed = 0;
 };
 
@@ -188,6 +193,10 @@
     // VMs that share the retry reserve, this one included.
     void set_vm_count(std::size_t count);
 
+    // This process ends then. Requests that are not expected to be answered by then are
+    // refused at once, and upstreams are told to stop work on the others by then.
+    void begin_stop(time_point ends_at);
+
     void submit(time_point now, exchange_id exchange, caller_request incoming);
     void finish_admission(time_point now, exchange_id exchange,
                           const allowance::admission& made);
@@ -234,6 +243,8 @@
                 int status, std::string_view detail) const;
     retry::policy& policy_of(const std::string& service);
     double part_for(const pending& of) const;
+    duration time_for(time_point now, const pending& of) const;
+    duration time_to_expect(time_point now, const pending& of) const;
 
     gateway_options options;
     upstreams::upstream_set& upstreams;
@@ -242,6 +253,7 @@
     std::unordered_map<exchange_id, pending> requests;
     std::map<std::string, retry::policy> retries;
     std::size_t vm_count = 1;
+    std::optional<time_point> ends_at; // this process
     counts total;
 };
 
--- a/pistachiospan/gateway/gateway_test.cpp
+++ b/pistachiospan/gateway/gateway_test.cpp
@@ -129,6 +129,27 @@
     }
 }
 
+// Pattern: a planned stop while requests wait in long queues. Guards against a request
+// that is taken late in the grace time and ends without an answer with the process.
+BOOST_AUTO_TEST_CASE(a_stopping_vm_takes_only_what_it_can_answer)
+{
+    world all;
+    all.requests.begin_stop(start + 600ms);
+    all.ask(1, "/order/1");
+    BOOST_TEST_REQUIRE(all.sent.size() == 1U);
+    // The upstream gives up before the process does.
+    BOOST_TEST((all.sent.front().time_left == 600ms));
+    // The answer is expected after 250 ms.
+    all.requests.begin_stop(start + 400ms);
+    all.ask(2, "/order/2");
+    BOOST_TEST(all.sent.size() == 1U);
+    BOOST_TEST_REQUIRE(all.refused.size() == 1U);
+    BOOST_TEST((all.refused.front().reason == refusal::stopping));
+    BOOST_TEST(!all.refused.front().may_have_run);
+    // Another VM takes it now.
+    BOOST_TEST((all.refused.front().retry_after <= 50ms));
+}
+
 // Guards against a failure of an upstream that turns into a second run of an order.
 BOOST_AUTO_TEST_CASE(failed_order_is_delivered_as_it_is)
 {
