Move the plan within regions fast, and correct the first plan after a loss at once

The plan moved 0.8% of the requests in half a second, also within a region; after all VMs had been lost its uniform first plan took over 15 s to follow the demand.

Hypothesis: the plan's pace binds, not the capacity.

Change: the step between regions is half of the bound that the settings give for such shifts (maxShift, 15% in 2 s), the step within them 10% in half a second. A process that replaces one that was lost (firstStart is false) corrects its plan at once for 6 s unless another VM tells one; at the first start of all it does not, since regions would change their load at once.

--- a/pistachiospan/edge/edge.hpp
+++ b/pistachiospan/edge/edge.hpp
@@ -38,6 +38,9 @@
     std::size_t descriptors = 1024; // that the process may open
     std::size_t memory = std::size_t{256} << 20U; // bytes that the process may use
     duration grace = std::chrono::seconds(6);     // from SIGTERM to SIGKILL
+    bool first_start = true; // of the whole fleet; false: this process replaces another
+    // Part of a region's requests that may change their region within 2 s.
+    double region_shift = 0.15;
     duration directory_ttl = std::chrono::seconds(2);
     duration report_interval = std::chrono::milliseconds(500);
     double retry_ratio = 0.2;  // repeats of a service's requests, over all VMs
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -67,6 +67,15 @@
     return std::max<std::uint32_t>(slots, 1);
 }
 
+// The part that is elsewhere after a change of parts; never quite 0.
+double moved_part(const std::map<std::string, double>& change)
+{
+    double moved = least_part;
+    for (const auto& [name, part] : change)
+        moved += std::max(part, 0.0);
+    return moved;
+}
+
 void average(double& into, double sample, double weight)
 {
     into = into <= 0 ? sample : into * (1 - weight) + sample * weight;
@@ -384,10 +393,29 @@
     for (const auto& [name, in_region] : this->where)
         input.demand[name] = each;
     group.plan = place(input, this->options.data_centre);
+    group.first_planned = now;
     group.planned = now;
     this->order_plan(group);
 }
 
+// The part of a change of the plan that may be made now.
+double upstream_set::plan_step_for(time_point now, const service_group& group,
+                                   const std::map<std::string, double>& change) const
+{
+    if (this->options.recovering &&
+        now - group.first_planned < this->options.plan_settling)
+        return 1;
+    std::map<std::string, double> by_region;
+    for (const auto& [name, part] : change)
+        by_region[this->where.at(name)] += part;
+    const double spans =
+        micros(this->options.plan_interval) / micros(this->options.region_shift_span);
+    const double region_step =
+        this->options.region_shift * this->options.planned_shift * spans;
+    return std::min({1.0, this->options.plan_step / moved_part(change),
+                     region_step / moved_part(by_region)});
+}
+
 void upstream_set::move_plan(time_point now, service_group& group)
 {
     this->decay_demand(now, group);
@@ -403,14 +431,10 @@
     const std::map<std::string, double> target = place(input, this->options.data_centre);
     if (target.empty())
         return;
-    double away = 0; // part that is elsewhere in the target
     std::map<std::string, double> change = target;
     for (const auto& [name, part] : group.plan)
         change[name] -= part;
-    for (const auto& [name, part] : change)
-        away += std::max(part, 0.0);
-    const double step =
-        away > this->options.plan_step ? this->options.plan_step / away : 1;
+    const double step = this->plan_step_for(now, group, change);
     for (const auto& [name, part] : change)
         group.plan[name] += part * step;
     std::erase_if(group.plan, [](const auto& each) { return each.second < least_part; });
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -95,10 +95,21 @@
     // Time that is worth spending to keep a body in its data centre, for each kilobyte:
     // links between data centres are shared and slow for large bodies.
     duration distance_per_kilobyte = std::chrono::milliseconds(3);
-    // The plan moves at most this part of the requests in one interval: regions must not
-    // change their load at once.
-    double plan_step = 0.008;
     duration plan_interval = std::chrono::milliseconds(500);
+    // Part of a region's requests that may change their region from one span to the next:
+    // regions must not change their load at once.
+    double region_shift = 0.15;
+    duration region_shift_span = std::chrono::seconds(2);
+    // Part of it that the plan uses. The rest is for single choices, and for demand that
+    // changes by itself.
+    double planned_shift = 0.5;
+    // The plan moves at most this part of the requests in one interval, within regions
+    // too: each object that moves is unknown where it comes to.
+    double plan_step = 0.1;
+    // This process replaces one that was lost. Its first plan, made without knowing the
+    // demand, is corrected at once for this long if no other VM tells one.
+    bool recovering = false;
+    duration plan_settling = std::chrono::seconds(6);
     duration told_plan_time = std::chrono::seconds(3); // a plan that was told counts
     duration demand_memory = std::chrono::seconds(3);
     // Busy part of all slots that the first plan expects.
@@ -303,6 +314,7 @@
         remote_demand remote;
         std::map<std::string, double> plan; // data centre to its part
         std::vector<std::string> plan_order;
+        time_point first_planned;
         time_point planned;                  // last move of the plan
         std::optional<time_point> told_plan; // when the plan was told last
     };
@@ -343,6 +355,8 @@
                                            const service_group& group) const;
     void make_first_plan(time_point now, service_group& group);
     void move_plan(time_point now, service_group& group);
+    double plan_step_for(time_point now, const service_group& group,
+                         const std::map<std::string, double>& change) const;
     void order_plan(service_group& group) const;
     bool follows_plan(time_point now, const service_group& group) const;
     void count_demand(time_point now, service_group& group, const query& wanted) const;
--- a/pistachiospan/upstreams/upstreams_test.cpp
+++ b/pistachiospan/upstreams/upstreams_test.cpp
@@ -405,3 +405,55 @@
     // The platform's bound for two windows of 2 s.
     BOOST_TEST(moved < 0.15);
 }
+
+// Pattern: most upstreams of a data centre are lost while its region has room. Guards
+// against its requests waiting or refused for 25 s beside upstreams that are idle.
+BOOST_AUTO_TEST_CASE(plan_moves_fast_within_a_region)
+{
+    upstreams::upstream_set known = make_set();
+    time_point now = start;
+    const auto work = [&]
+    {
+        for (int each = 0; each < 20; ++each)
+        {
+            const auto chosen = known.select(now, query_of(std::to_string(each)));
+            known.begin(now, chosen);
+            known.end(now, chosen, upstreams::ending::answered, 100ms, std::nullopt);
+        }
+    };
+    work();
+    BOOST_TEST(known.plan_of(now, "orders").at("n1") > 0.99);
+    for (const char* id : {"n1a", "n1b"})
+        known.remove(id);
+    for (int tick = 0; tick < 10; ++tick)
+    {
+        now += 500ms;
+        work();
+        known.tick(now);
+    }
+    BOOST_TEST(known.plan_of(now, "orders").at("n2") > 0.9);
+}
+
+// Pattern: all VMs were lost and started again, and the callers of one data centre send
+// far more than its upstreams can take. Guards against a first plan, made without knowing
+// that, which is corrected for most of a minute.
+BOOST_AUTO_TEST_CASE(plan_is_corrected_at_once_after_a_loss)
+{
+    const auto part_at_home = [](bool recovering)
+    {
+        upstreams::upstream_set known({.data_centre = "n1", .recovering = recovering},
+                                      six);
+        for (const auto& [data_centre, region] : six)
+            known.update(start, entry_of(data_centre + "a", data_centre));
+        time_point now = start;
+        for (int tick = 0; tick < 4; ++tick)
+        {
+            for (int each = 0; each < 100; ++each)
+                (void)known.select(now, query_of(std::to_string(each)));
+            known.tick(now += 500ms);
+        }
+        return known.plan_of(now, "orders").at("n1");
+    };
+    BOOST_TEST(part_at_home(true) < 0.3);
+    BOOST_TEST(part_at_home(false) > 0.6);
+}
