--- a/pistachiospan/mirror/mirror_test.cpp
+++ b/pistachiospan/mirror/mirror_test.cpp
@@ -152,7 +152,9 @@
 BOOST_AUTO_TEST_CASE(a_page_of_changes_carries_the_newest_of_each_row)
 {
     mirror::table_mirror first({.instance = 7}, {.changed = [](const mirror::row&) {},
-                                                 .removed = [](const std::string&) {}});
+                                                 .removed =
+                                                     [](const std::string&) {
+                                                     }});
     first.apply_whole(start, {.rows = {row("a", 1), row("b", 2)}, .position = 2});
     const std::uint64_t cursor = first.cursor();
     first.apply_changes(start, {.rows = {row("a", 3)}, .position = 3});
@@ -180,8 +182,8 @@
     const std::string bytes = mirror::encode(sent);
     BOOST_TEST(bytes.size() < value.size() / 5);
     BOOST_TEST(mirror::decode(bytes).value().content.rows.at(0).value == value);
-    BOOST_TEST(!mirror::decode(std::string_view(bytes).substr(0, bytes.size() / 2))
-                    .has_value());
+    BOOST_TEST(
+        !mirror::decode(std::string_view(bytes).substr(0, bytes.size() / 2)).has_value());
 }
 
 // Guards against values that change on the way from one VM to another.
