Name what coordinators confirm by the field's terms, and write the account

Reports that a coordinator has got are received, and demand that it has sent is reported; the struct and function names of the new code said heard and told. No behaviour changes: the tests of allowance, fleet and fleet_node pass.

--- a/pistachiospan/allowance/allowance.hpp
+++ b/pistachiospan/allowance/allowance.hpp
@@ -102,11 +102,11 @@
     // the same figures.
     std::vector<demand> report_demand(time_point now, bool whole);
 
-    // A report with this number has told the demand as it is now.
-    void note_told(std::uint64_t report);
-    // All data centres that share the accounts have heard the reports up to this one. A
-    // part grows only as far as the others have heard why: one that is cut off goes on
-    // with the part that it had.
+    // The demand as it is now has been sent to the others in the report of this number.
+    void note_reported(std::uint64_t report);
+    // All data centres that share the accounts have received the reports up to this one.
+    // A part grows only as far as the others know why: one that is cut off goes on with
+    // the part that it had.
     void confirm(time_point now, std::uint64_t report);
 
     // The part of the account that can be used here, 0 to 1.
@@ -115,7 +115,7 @@
     double whole_part_of(std::string_view account) const;
 
 private:
-    struct told_part
+    struct reported_part
     {
         std::uint64_t report = 0;
         double part = 0;
@@ -131,7 +131,7 @@
         std::uint32_t repeats = 0; // reports that still tell it
         remote_share others;
         double confirmed_part = 1;
-        std::deque<told_part> told_parts; // that are not confirmed, oldest first
+        std::deque<reported_part> reported_parts; // that are not confirmed, oldest first
         time_point refilled;
         time_point decayed;
     };
--- a/pistachiospan/allowance/ledger.cpp
+++ b/pistachiospan/allowance/ledger.cpp
@@ -192,13 +192,14 @@
     return all;
 }
 
-void ledger::note_told(std::uint64_t report)
+void ledger::note_reported(std::uint64_t report)
 {
     for (auto& [name, each] : this->buckets)
     {
-        each.told_parts.push_back({.report = report, .part = this->claimed_part(each)});
-        if (each.told_parts.size() > most_unconfirmed)
-            each.told_parts.pop_front();
+        each.reported_parts.push_back(
+            {.report = report, .part = this->claimed_part(each)});
+        if (each.reported_parts.size() > most_unconfirmed)
+            each.reported_parts.pop_front();
     }
 }
 
@@ -206,13 +207,14 @@
 {
     for (auto& [name, each] : this->buckets)
     {
-        if (each.told_parts.empty() || each.told_parts.front().report > report)
+        if (each.reported_parts.empty() || each.reported_parts.front().report > report)
             continue;
         this->refill(now, each);
-        while (!each.told_parts.empty() && each.told_parts.front().report <= report)
+        while (!each.reported_parts.empty() &&
+               each.reported_parts.front().report <= report)
         {
-            each.confirmed_part = each.told_parts.front().part;
-            each.told_parts.pop_front();
+            each.confirmed_part = each.reported_parts.front().part;
+            each.reported_parts.pop_front();
         }
     }
 }
--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -49,13 +49,13 @@
     bool operator==(const coordinator_entry&) const = default;
 };
 
-// The last report of a data centre's coordinator that was heard.
-struct heard_report
+// The last report that was received from a data centre's coordinator.
+struct received_report
 {
     std::string data_centre;
     incarnation started = 0; // of the process that sent it
     std::uint64_t sequence = 0;
-    bool operator==(const heard_report&) const = default;
+    bool operator==(const received_report&) const = default;
 };
 
 // What one VM says: a member to its coordinator, of itself; a coordinator to the others,
@@ -89,9 +89,9 @@
     // Of a coordinator: the part of its data centre's VMs that it hears. The others may
     // be cut off and admit what is set aside for them.
     double heard_part = 1;
-    // Of a coordinator: what it has heard of the others. They raise their parts of the
-    // allowances only as far as all have heard.
-    std::vector<heard_report> heard;
+    // Of a coordinator: what it has received from the others. They raise their parts of
+    // the allowances only as far as all have received.
+    std::vector<received_report> received;
     // Of a coordinator: the VMs of its data centre, and the other coordinators.
     std::vector<vm_entry> vms;
     std::vector<coordinator_entry> coordinators;
@@ -168,10 +168,11 @@
     std::vector<std::string> peer_addresses() const;
     // The coordinators known, this one not included.
     std::vector<coordinator_entry> coordinators(time_point now) const;
-    // The last reports heard of those whose reports are not overdue.
-    std::vector<heard_report> heard_reports() const;
-    // The last own report that all data centres have heard, but for those whose reports
-    // are overdue: what they may use is reserved. The highest number without any others.
+    // The last reports of those whose reports are not overdue.
+    std::vector<received_report> received_reports() const;
+    // The last own report that all data centres have received, but for those whose
+    // reports are overdue: what they may use is reserved. The highest number without any
+    // others.
     std::uint64_t confirmed_report() const;
     // Data centres that share the allowances, this one included.
     std::size_t sharing_count() const;
--- a/pistachiospan/fleet/membership.cpp
+++ b/pistachiospan/fleet/membership.cpp
@@ -209,9 +209,9 @@
     return all;
 }
 
-std::vector<heard_report> membership::heard_reports() const
+std::vector<received_report> membership::received_reports() const
 {
-    std::vector<heard_report> all;
+    std::vector<received_report> all;
     for (const auto& [data_centre, each] : this->peers)
         if (!each.overdue)
             all.push_back({.data_centre = data_centre,
@@ -227,10 +227,10 @@
     {
         if (each.overdue)
             continue;
-        const auto found = std::ranges::find(each.said.heard, this->options.data_centre,
-                                             &heard_report::data_centre);
+        const auto found = std::ranges::find(
+            each.said.received, this->options.data_centre, &received_report::data_centre);
         const bool heard =
-            found != each.said.heard.end() && found->started == this->self.started;
+            found != each.said.received.end() && found->started == this->self.started;
         least = std::min(least, heard ? found->sequence : 0);
     }
     return least;
--- a/pistachiospan/fleet/report.cpp
+++ b/pistachiospan/fleet/report.cpp
@@ -120,9 +120,9 @@
         made.leaving.push_back({.id = id, .started = started.get<std::int64_t>()});
     made.heard_part = std::min(amount_of(all.at(12)), 1.0);
     for (const auto& [data_centre, figures] : all.at(13).items())
-        made.heard.push_back({.data_centre = data_centre,
-                              .started = figures.at(0).get<incarnation>(),
-                              .sequence = figures.at(1).get<std::uint64_t>()});
+        made.received.push_back({.data_centre = data_centre,
+                                 .started = figures.at(0).get<incarnation>(),
+                                 .sequence = figures.at(1).get<std::uint64_t>()});
     return made;
 }
 
@@ -149,9 +149,9 @@
     nlohmann::json leaving = nlohmann::json::object();
     for (const upstreams::upstream_start& each : from.leaving)
         leaving[each.id] = each.started;
-    nlohmann::json heard = nlohmann::json::object();
-    for (const heard_report& each : from.heard)
-        heard[each.data_centre] = {each.started, each.sequence};
+    nlohmann::json received = nlohmann::json::object();
+    for (const received_report& each : from.received)
+        received[each.data_centre] = {each.started, each.sequence};
     const auto age = std::min(
         std::chrono::floor<std::chrono::milliseconds>(from.store_age), oldest_told);
     nlohmann::json all = {from.vm.value,
@@ -167,7 +167,7 @@
                           encode_services(from.services),
                           std::move(leaving),
                           static_cast<float>(from.heard_part),
-                          std::move(heard)};
+                          std::move(received)};
     if (!from.brief)
     {
         all.push_back(from.data_centre);
--- a/pistachiospan/fleet_node/fleet_node.cpp
+++ b/pistachiospan/fleet_node/fleet_node.cpp
@@ -113,7 +113,7 @@
     made.brief = !whole;
     made.epoch = this->own.epoch();
     made.heard_part = this->own.heard_part(now);
-    made.heard = this->membership.heard_reports();
+    made.received = this->membership.received_reports();
     made.vms = this->own.members(now, this->own_entry(this->hooks.state(now)));
     made.coordinators = this->membership.coordinators(now);
     made.coordinators.push_back({.data_centre = this->options.data_centre,
@@ -146,7 +146,7 @@
                       .configuration_version = summary.configuration_version,
                       .news_age = this->hooks.state(now).news_age,
                       .vm_count = this->vm_count()};
-    made.coordinator.heard.clear(); // concerns coordinators only
+    made.coordinator.received.clear(); // concerns coordinators only
     if (const auto best = this->best_informed(now, made.operator_change, UINT64_MAX))
         made.operator_change = best->operator_change;
     if (const auto best = this->best_informed(now, UINT64_MAX, made.registry_change))
@@ -208,7 +208,7 @@
     fleet::report summary = this->make_summary(now, whole);
     summary.demand = this->tokens.report_demand(now, whole);
     this->membership.note_told(now, summary);
-    this->tokens.note_told(summary.sequence);
+    this->tokens.note_reported(summary.sequence);
     this->tell_coordinators(summary);
     this->tell_members(now, summary);
 }
--- a/pistachiospan/fleet_node/internal/token_exchange.hpp
+++ b/pistachiospan/fleet_node/internal/token_exchange.hpp
@@ -41,9 +41,9 @@
     // Coordinator: demand of the data centre by account, to be told.
     std::vector<allowance::demand> report_demand(time_point now, bool whole);
     void change_demand(time_point now, const allowance::demand& change);
-    // Coordinator: the demand has been told in this report; all others have heard the
+    // Coordinator: the demand has been sent in this report; all others have received the
     // reports up to this one.
-    void note_told(std::uint64_t report);
+    void note_reported(std::uint64_t report);
     void confirm(time_point now, std::uint64_t report);
     // Coordinator: what the others say, the VMs here and the part of them that is heard.
     void share(time_point now, const fleet::membership& others, std::size_t members,
--- a/pistachiospan/fleet_node/token_exchange.cpp
+++ b/pistachiospan/fleet_node/token_exchange.cpp
@@ -85,9 +85,9 @@
     this->authority.divided().change_remote(at, change);
 }
 
-void token_exchange::note_told(std::uint64_t report)
+void token_exchange::note_reported(std::uint64_t report)
 {
-    this->authority.divided().note_told(report);
+    this->authority.divided().note_reported(report);
 }
 
 void token_exchange::confirm(time_point at, std::uint64_t report)
