Log the number of VMs that a VM reckons with and count its retries by service

Until now nothing showed when a VM's record of retries ended, or by which number of VMs it divides what they share. A line vm_count gives both; gauges give the retries of each service that were sent, denied and are charged. Logic is unchanged.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -632,6 +632,9 @@
     set("store_position", this->tables.copy(table::upstreams).position());
     set("log_lines_left_out", this->events.suppressed_lines());
     set("log_lines_lost", this->events.dropped_lines());
+    for (const auto& [service, counts] :
+         this->core.requests().retry_totals(monotonic_now()))
+        this->metrics.set_retries(service, counts);
     this->metrics_server->respond(
         id, {.status = 200,
              .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
--- a/pistachiospan/edge/internal/metrics.hpp
+++ b/pistachiospan/edge/internal/metrics.hpp
@@ -32,6 +32,8 @@
     void count_limit();
     // Sets the gauge of this name.
     void set(const std::string& name, double value);
+    // Sets the gauges of a service's retries.
+    void set_retries(const std::string& service, const gateway::retry_counts& counts);
 
     // All metrics in the Prometheus text format.
     std::string render();
@@ -46,6 +48,7 @@
     prometheus::Counter& pauses;
     prometheus::Counter& limits;
     prometheus::Family<prometheus::Gauge>& gauges;
+    prometheus::Family<prometheus::Gauge>& retries;
     std::map<std::string, prometheus::Histogram*> by_route;
 };
 
--- a/pistachiospan/edge/metrics.cpp
+++ b/pistachiospan/edge/metrics.cpp
@@ -44,7 +44,11 @@
       gauges(prometheus::BuildGauge()
                  .Name("pistachiospan_state")
                  .Help("Present state of the daemon by name")
-                 .Register(this->registry))
+                 .Register(this->registry)),
+      retries(prometheus::BuildGauge()
+                  .Name("pistachiospan_retries")
+                  .Help("Retries by service: sent, denied by the budget, charged to it")
+                  .Register(this->registry))
 {
 }
 
@@ -94,6 +98,18 @@
     this->gauges.Add({{"name", name}}).Set(value);
 }
 
+void metrics::set_retries(const std::string& service, const gateway::retry_counts& counts)
+{
+    const auto set = [this, &service](const char* name, std::uint64_t value)
+    {
+        this->retries.Add({{"service", service}, {"name", name}})
+            .Set(static_cast<double>(value));
+    };
+    set("sent", counts.sent);
+    set("denied", counts.denied);
+    set("charged", counts.charged);
+}
+
 std::string metrics::render()
 {
     return prometheus::TextSerializer().Serialize(this->registry.Collect());
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -437,9 +437,12 @@
                                  .not_run = not_run,
                                  .attempts = pending.attempts,
                                  .deadline = pending.deadline});
+    retry_counts& total = this->retry_total[pending.service];
+    total.denied += decision.why == retry::reason::budget ? 1 : 0;
     if (!decision.retry)
         return false;
     ++this->total.retries;
+    ++total.sent;
     pending.excluded.push_back(pending.upstream);
     this->report(now, "retried", pending, refusal::none, 0,
                  not_run ? "not run" : "failed or broken");
@@ -540,6 +543,14 @@
          .detail = std::string(detail)});
 }
 
+std::map<std::string, retry_counts> gateway::retry_totals(time_point now) const
+{
+    std::map<std::string, retry_counts> all = this->retry_total;
+    for (const auto& [service, policy] : this->retries)
+        all[service].charged = policy.charged_retries(now);
+    return all;
+}
+
 counts gateway::totals() const
 {
     counts current = this->total;
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -190,6 +190,14 @@
     std::uint64_t seed = 0;
 };
 
+// Retries of one service by this VM.
+struct retry_counts
+{
+    std::uint64_t sent = 0;    // since the start of the process
+    std::uint64_t denied = 0;  // the same, not sent because the budget was used up
+    std::uint64_t charged = 0; // to the budget at present
+};
+
 struct counts
 {
     std::uint64_t submitted = 0;
@@ -237,6 +245,8 @@
     void caller_left(time_point now, exchange_id exchange);
 
     counts totals() const;
+    // By service.
+    std::map<std::string, retry_counts> retry_totals(time_point now) const;
 
 private:
     enum class token_wait
@@ -298,6 +308,7 @@
     std::shared_ptr<const configuration::state> configuration;
     std::unordered_map<exchange_id, pending_request> requests;
     std::map<std::string, retry::policy> retries;
+    std::map<std::string, retry_counts> retry_total; // by service
     std::size_t vm_count = 1;
     std::optional<time_point> stops_at; // end of this process
     counts total;
--- a/pistachiospan/retry/retry.cpp
+++ b/pistachiospan/retry/retry.cpp
@@ -46,6 +46,16 @@
     return true;
 }
 
+std::uint64_t policy::charged_retries(time_point now) const
+{
+    const std::int64_t present = now.time_since_epoch() / step_length;
+    std::uint64_t retries = 0;
+    for (const step& each : this->history)
+        if (each.number >= 0 && present - each.number < static_cast<std::int64_t>(steps))
+            retries += each.retries;
+    return retries;
+}
+
 // The delay doubles with each attempt. Random jitter of up to half of it keeps requests
 // that failed together from being retried together.
 duration policy::backoff(std::uint32_t attempts)
--- a/pistachiospan/retry/retry.hpp
+++ b/pistachiospan/retry/retry.hpp
@@ -74,6 +74,9 @@
     // Decides on a retry. A permitted one is charged to the budget at once.
     decision after_failure(time_point now, const failure_report& failed);
 
+    // Retries that are charged to the budget at present, for logs and metrics.
+    std::uint64_t charged_retries(time_point now) const;
+
 private:
     // Counts per step of 100 ms. Retries are counted over one step more than the window
     // and requests over one step less, so that the budget holds in every window of this
--- a/pistachiospan/steering/steering.cpp
+++ b/pistachiospan/steering/steering.cpp
@@ -100,8 +100,7 @@
         .vm_count_changed =
             [this](std::size_t count)
         {
-            this->known_upstreams.set_vm_count(count);
-            this->local_requests.set_vm_count(count);
+            this->note_vm_count(count);
         },
         .role_changed = this->hooks.role_changed,
         .token_done = [this](allowance::ticket id, const allowance::admission& outcome)
@@ -114,6 +113,21 @@
         .log = this->hooks.log};
 }
 
+void core::note_vm_count(std::size_t count)
+{
+    const std::size_t before = std::exchange(this->vm_count, count);
+    if (before == count)
+        return;
+    std::uint64_t charged = 0;
+    for (const auto& [service, counts] :
+         this->local_requests.retry_totals(this->hooks.now()))
+        charged += counts.charged;
+    this->hooks.log("vm_count",
+                    {{"count", count}, {"before", before}, {"charged_retries", charged}});
+    this->known_upstreams.set_vm_count(count);
+    this->local_requests.set_vm_count(count);
+}
+
 void core::request_token(gateway::exchange_id id, const std::string& account)
 {
     this->local_node.request_token(this->hooks.now(), id, account);
--- a/pistachiospan/steering/steering.hpp
+++ b/pistachiospan/steering/steering.hpp
@@ -117,6 +117,8 @@
     bool learn_limits(time_point now, std::span<const upstreams::limit_notice> received);
     fleet::upstream_notices known_notices(time_point now, bool recent);
     void apply_limits(time_point now);
+    // The VMs share cold rates and the retry budget: this VM uses its part of them.
+    void note_vm_count(std::size_t count);
     fleet_node::own_state current_state(time_point now) const;
     void request_token(gateway::exchange_id id, const std::string& account);
     void request_upstream_token(gateway::exchange_id id,
@@ -127,6 +129,7 @@
     gateway::gateway local_requests;
     fleet_node::node local_node;
     std::uint64_t applied_limits = 0; // version that the node enforces
+    std::size_t vm_count = 0;         // that share with this one; 0: not known yet
 };
 
 } // namespace pistachiospan::steering
