--- a/pistachiospan/world/upstream.cpp
+++ b/pistachiospan/world/upstream.cpp
@@ -18,11 +18,22 @@
 {
 }
 
+// Draws a random number only if the upstream refuses requests at random, so that runs
+// without such upstreams don't depend on it.
+bool upstream::refuses_at_random()
+{
+    return this->refused_fraction > 0 &&
+           std::uniform_real_distribution<>(0, 1)(this->random) < this->refused_fraction;
+}
+
 void upstream::receive(const incoming_request& request, answer_handler answer)
 {
-    const bool has_slot = this->running < this->options.registration.slots;
-    const bool has_room = has_slot || this->queue.size() < this->options.max_queued;
+    const bool is_refused = this->refuses_at_random();
+    const bool has_slot = !is_refused && this->running < this->options.registration.slots;
+    const bool has_room =
+        has_slot || (!is_refused && this->queue.size() < this->options.max_queued);
     this->received.push_back({.at = this->events.now(),
+                              .request = request.id,
                               .vm = request.vm,
                               .sent_at = request.sent_at,
                               .account = request.account,
@@ -108,6 +119,7 @@
     this->running = 0;
     this->queue.clear();
     this->known_objects.clear();
+    this->refused_fraction = 0;
     this->leaving = false;
     this->limit.reset();
     this->record_limit(std::nullopt);
--- a/pistachiospan/world/upstream.hpp
+++ b/pistachiospan/world/upstream.hpp
@@ -26,8 +26,9 @@
 // A request as an upstream receives it.
 struct incoming_request
 {
-    std::size_t vm = 0; // that sent it
-    time_point sent_at; // by the VM
+    std::uint64_t id = 0; // the same in all attempts of a request
+    std::size_t vm = 0;   // that sent it
+    time_point sent_at;   // by the VM
     std::string object;
     std::string account; // empty: an open request
     bool is_excused = false;
@@ -37,7 +38,8 @@
 struct arrival
 {
     time_point at;
-    std::size_t vm = 0; // that sent it
+    std::uint64_t request = 0; // its id
+    std::size_t vm = 0;        // that sent it
     time_point sent_at;
     std::string account;
     bool ran = false;        // it was not refused
@@ -73,6 +75,11 @@
     {
         this->leaving = true;
     }
+    // Refuses this fraction of the requests as not run, even if it has room.
+    void refuse_fraction(double fraction)
+    {
+        this->refused_fraction = fraction;
+    }
     // While it is silent it works on requests and answers none.
     void set_silent(bool next)
     {
@@ -103,6 +110,7 @@
         answer_handler answer;
     };
 
+    bool refuses_at_random();
     void start(waiting_request request);
     void finish(const answer_handler& answer);
     duration work_on(const std::string& object);
@@ -118,6 +126,7 @@
     std::deque<arrival> received;
     std::optional<double> limit;
     std::vector<named_limit> named;
+    double refused_fraction = 0;
     bool leaving = false;
     bool silent = false;
 };
--- a/pistachiospan/world/world.cpp
+++ b/pistachiospan/world/world.cpp
@@ -128,7 +128,9 @@
     vm.process = std::make_unique<steering::core>(
         steering::core_options{
             .upstreams = {.seed = hash_bytes(vm.id.value), .data_centre = vm.data_centre},
-            .gateway = {.seed = at},
+            .gateway = {.retry_ratio = this->options.retry_ratio,
+                        .retry_reserve = this->allowed_retries().slack,
+                        .seed = at},
             .fleet = {.vm = vm.id,
                       .started = vm.started,
                       .data_centre = vm.data_centre,
@@ -332,7 +334,8 @@
     this->events.after(
         way,
         [this, server, id, way,
-         sent = incoming_request{.vm = at,
+         sent = incoming_request{.id = attempt.exchange,
+                                 .vm = at,
                                  .sent_at = this->now(),
                                  .object = this->requests.at(attempt.exchange).object,
                                  .account = attempt.account,
@@ -413,6 +416,14 @@
            this->now() - told->second >= told_notice;
 }
 
+retry_bound world::allowed_retries() const
+{
+    return {.ratio = this->options.retry_ratio,
+            .slack =
+                this->options.retry_slack + this->options.retry_slack_per_vm *
+                                                static_cast<double>(this->options.vms)};
+}
+
 result<std::map<std::string, std::string>> world::read_claims(bool answered) const
 {
     if (!answered)
@@ -471,6 +482,7 @@
 {
     const std::size_t at = this->pick_vm(account);
     ++this->counts.sent;
+    this->sent_requests.push_back(this->now());
     const vm_state& vm = this->vms[at];
     if (!vm.ready || vm.frozen_until > this->now())
     {
--- a/pistachiospan/world/world.hpp
+++ b/pistachiospan/world/world.hpp
@@ -37,7 +37,11 @@
     std::size_t objects = 400; // that the requests of each data centre are about
     double skew = 0;           // exponent of the objects' popularity (Zipf); 0: all equal
     duration objective = std::chrono::milliseconds(200); // of the answers
-    double datagram_loss = 0; // fraction of the datagrams between VMs
+    // Of the service, over all VMs; see retry_bound.
+    double retry_ratio = 0.2;
+    double retry_slack = 40;       // retries, and as many more as the VMs times the next
+    double retry_slack_per_vm = 2; // retries
+    double datagram_loss = 0;      // fraction of the datagrams between VMs
     // One way.
     duration within_data_centre = std::chrono::microseconds(100);
     duration within_region = std::chrono::milliseconds(1);
@@ -68,6 +72,15 @@
     bool available = true;
 };
 
+// The users' bound on retries over all VMs: in each window no more than `ratio` times the
+// requests, plus `slack`.
+struct retry_bound
+{
+    duration window = std::chrono::seconds(10);
+    double ratio = 0.2;
+    double slack = 0; // retries
+};
+
 // What the callers saw.
 struct caller_counts
 {
@@ -152,6 +165,13 @@
     {
         return this->counts;
     }
+    // When callers sent their requests, whether they reached a VM or not.
+    const std::deque<time_point>& request_times() const
+    {
+        return this->sent_requests;
+    }
+    // The retries that the users' rule allows over all VMs.
+    retry_bound allowed_retries() const;
 
 private:
     struct request
@@ -217,6 +237,7 @@
     std::discrete_distribution<std::size_t> popularity; // of the objects
     std::set<std::size_t> watched;                      // VMs with a token timer
     caller_counts counts;
+    std::deque<time_point> sent_requests;
 };
 
 } // namespace pistachiospan::world
