Let requests earn the credit that retries cost

Cause: each VM kept a record of its requests and retries of the last 10 s. The record was dropped whenever the VM heard of another number of VMs, because the part of the slack depended on it, so every restart in the fleet gave all VMs a new budget (2,335 charged retries dropped in one second). It also ended with the process, and the slack was divided by numbers as low as 6 of 81. The class: a count that holds over all VMs, kept by each for itself and reset by a restart or by a change in the number of VMs.

The fix: a request earns half of the ratio, and what the requests of the last 10 s have earned may be stored. Retries in a window are then at most half of the ratio of its requests and of those of the window before, and these bounds add up over VMs, restarts and requests that move to other VMs. No number of VMs is needed; the slack is left for the one retry that each VM may store at any load.

--- a/pistachiospan/edge/edge.hpp
+++ b/pistachiospan/edge/edge.hpp
@@ -42,8 +42,7 @@
     double max_region_shift = 0.15;
     duration directory_ttl = std::chrono::seconds(2);
     duration report_interval = std::chrono::milliseconds(500);
-    double retry_ratio = 0.2;  // retries per request of a service, over all VMs
-    double retry_reserve = 50; // retries beyond the ratio in each window, over all VMs
+    double retry_ratio = 0.2; // retries per request of a service, over all VMs
 };
 
 // Tables of the platform's store that the daemon replicates.
--- a/pistachiospan/edge/metrics.cpp
+++ b/pistachiospan/edge/metrics.cpp
@@ -47,7 +47,7 @@
                  .Register(this->registry)),
       retries(prometheus::BuildGauge()
                   .Name("pistachiospan_retries")
-                  .Help("Retries by service: sent, denied by the budget, charged to it")
+                  .Help("Retries by service: sent, denied by the budget, permitted now")
                   .Register(this->registry))
 {
 }
@@ -100,14 +100,13 @@
 
 void metrics::set_retries(const std::string& service, const gateway::retry_counts& counts)
 {
-    const auto set = [this, &service](const char* name, std::uint64_t value)
+    const auto set = [this, &service](const char* name, double value)
     {
-        this->retries.Add({{"service", service}, {"name", name}})
-            .Set(static_cast<double>(value));
+        this->retries.Add({{"service", service}, {"name", name}}).Set(value);
     };
-    set("sent", counts.sent);
-    set("denied", counts.denied);
-    set("charged", counts.charged);
+    set("sent", static_cast<double>(counts.sent));
+    set("denied", static_cast<double>(counts.denied));
+    set("credit", counts.credit);
 }
 
 std::string metrics::render()
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -106,29 +106,13 @@
     this->upstreams.set_services(this->configuration->services());
 }
 
-void gateway::set_vm_count(std::size_t count)
-{
-    if (this->vm_count == count)
-        return;
-    this->vm_count = std::max<std::size_t>(count, 1);
-    // The reserve of each policy depends on the count. A new policy starts with an empty
-    // window, which exceeds the fleet's budget no more than a restart does.
-    this->retries.clear();
-}
-
 retry::policy& gateway::policy_of(const std::string& service)
 {
-    const auto known = this->retries.find(service);
-    if (known != this->retries.end())
-        return known->second;
-    const double reserve =
-        this->options.retry_reserve / static_cast<double>(this->vm_count);
     return this->retries
-        .emplace(service,
-                 retry::policy({.retry_ratio = this->options.retry_ratio,
-                                .min_retries = static_cast<std::uint32_t>(reserve),
-                                .max_attempts = UINT32_MAX,
-                                .seed = this->options.seed}))
+        .try_emplace(service, retry::options{.retry_ratio = this->options.retry_ratio,
+                                             .min_credit = this->options.min_retry_credit,
+                                             .max_attempts = UINT32_MAX,
+                                             .seed = this->options.seed})
         .first->second;
 }
 
@@ -547,7 +531,7 @@
 {
     std::map<std::string, retry_counts> all = this->retry_total;
     for (const auto& [service, policy] : this->retries)
-        all[service].charged = policy.charged_retries(now);
+        all[service].credit = policy.available_credit(now);
     return all;
 }
 
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -165,10 +165,9 @@
 {
     duration default_timeout =
         std::chrono::seconds(10); // without route timeout and deadline
-    double retry_ratio = 0.15;    // retries of a service as a ratio of its requests
-    // Retries of a service in each window that are allowed beyond the ratio, over all
-    // VMs.
-    double retry_reserve = 30;
+    double retry_ratio = 0.2;     // retries of a service as a ratio of its requests
+    // Retries of a service that this VM may store at any load, in addition to the ratio.
+    double min_retry_credit = 1;
     // Fraction of the remaining time within which an answer must be expected, by
     // priority: under overload, less urgent requests are refused first.
     std::array<double, 3> admission_fraction = {1.0, 0.9, 0.75};
@@ -193,9 +192,9 @@
 // Retries of one service by this VM.
 struct retry_counts
 {
-    std::uint64_t sent = 0;    // since the start of the process
-    std::uint64_t denied = 0;  // the same, not sent because the budget was used up
-    std::uint64_t charged = 0; // to the budget at present
+    std::uint64_t sent = 0;   // since the start of the process
+    std::uint64_t denied = 0; // the same, not sent because the budget was used up
+    double credit = 0;        // retries that the budget permits at present
 };
 
 struct counts
@@ -220,8 +219,6 @@
     {
         return this->configuration.get();
     }
-    // Number of VMs that share the retry reserve, including this one.
-    void set_vm_count(std::size_t count);
 
     // This process ends at `stops_at`. Requests that are not expected to be answered by
     // then are refused at once, and the others get no more time at the upstream than
@@ -309,8 +306,7 @@
     std::unordered_map<exchange_id, pending_request> requests;
     std::map<std::string, retry::policy> retries;
     std::map<std::string, retry_counts> retry_total; // by service
-    std::size_t vm_count = 1;
-    std::optional<time_point> stops_at; // end of this process
+    std::optional<time_point> stops_at;              // end of this process
     counts total;
 };
 
--- a/pistachiospan/retry/retry.cpp
+++ b/pistachiospan/retry/retry.cpp
@@ -5,7 +5,10 @@
 namespace pistachiospan::retry
 {
 
-policy::policy(options values) : settings(values), random(values.seed) {}
+policy::policy(options values)
+    : settings(values), random(values.seed), credit(values.min_credit)
+{
+}
 
 policy::step& policy::current_step(time_point now)
 {
@@ -16,44 +19,41 @@
     return entry;
 }
 
-void policy::note_request(time_point now)
+double policy::credit_per_request() const
 {
-    ++this->current_step(now).requests;
+    return this->settings.retry_ratio / 2;
 }
 
-bool policy::consume_budget(time_point now)
+double policy::max_credit(time_point now) const
 {
-    step& current = this->current_step(now);
-    constexpr auto length = static_cast<std::int64_t>(steps);
+    const std::int64_t present = now.time_since_epoch() / step_length;
     std::uint64_t requests = 0;
-    std::uint64_t retries = 0;
     for (const step& each : this->history)
-    {
-        const std::int64_t age = current.number - each.number;
-        if (each.number < 0 || age >= length)
-            continue;
-        retries += each.retries;
-        if (age < length - 2)
+        if (each.number >= 0 && present - each.number < static_cast<std::int64_t>(steps))
             requests += each.requests;
-    }
-    const double proportional =
-        this->settings.retry_ratio * static_cast<double>(requests);
-    const double bound =
-        std::max(proportional, static_cast<double>(this->settings.min_retries));
-    if (static_cast<double>(retries + 1) > bound)
-        return false;
-    ++current.retries;
-    return true;
+    return std::max(this->settings.min_credit,
+                    this->credit_per_request() * static_cast<double>(requests));
 }
 
-std::uint64_t policy::charged_retries(time_point now) const
+double policy::available_credit(time_point now) const
 {
-    const std::int64_t present = now.time_since_epoch() / step_length;
-    std::uint64_t retries = 0;
-    for (const step& each : this->history)
-        if (each.number >= 0 && present - each.number < static_cast<std::int64_t>(steps))
-            retries += each.retries;
-    return retries;
+    return std::min(this->credit, this->max_credit(now));
+}
+
+void policy::note_request(time_point now)
+{
+    ++this->current_step(now).requests;
+    this->credit += this->credit_per_request();
+    this->credit = this->available_credit(now);
+}
+
+bool policy::consume_credit(time_point now)
+{
+    this->credit = this->available_credit(now);
+    if (this->credit < 1)
+        return false;
+    this->credit -= 1;
+    return true;
 }
 
 // The delay doubles with each attempt. Random jitter of up to half of it keeps requests
@@ -78,7 +78,7 @@
     const duration delay = std::max(this->backoff(failed.attempts), failed.retry_after);
     if (now + delay + failed.min_attempt_time >= failed.deadline)
         return {.why = reason::deadline};
-    if (!this->consume_budget(now))
+    if (!this->consume_credit(now))
         return {.why = reason::budget};
     return {.retry = true, .delay = delay};
 }
--- a/pistachiospan/retry/retry.hpp
+++ b/pistachiospan/retry/retry.hpp
@@ -21,14 +21,15 @@
 
 struct options
 {
-    double retry_ratio = 0.1;       // retries per request within a window
-    std::uint32_t min_retries = 3;  // retries per window that are permitted at any load
+    double retry_ratio = 0.1;       // retries per request in each window
+    double min_credit = 3;          // retries that may be stored at any load
     std::uint32_t max_attempts = 3; // of one request, including the first
     duration initial_backoff = std::chrono::milliseconds(10); // doubles with each retry
     duration max_backoff = std::chrono::milliseconds(500);
     std::uint64_t seed = 0;
 };
 
+// The retry ratio holds in each span of this length. Credit is stored for as long.
 inline constexpr duration window = std::chrono::seconds(10);
 
 // A failed attempt of a request.
@@ -63,6 +64,13 @@
 };
 
 // Retry budget and backoff with jitter.
+//
+// Each request earns half of the ratio as credit, and a retry costs 1. Stored credit is
+// limited to min_credit or what the requests of the last window have earned. So the
+// retries in a window are at most half of the ratio of its requests and of those in the
+// window before it, plus min_credit. These bounds add up: the budgets of many VMs keep to
+// the ratio together, of the requests in a window or in the one before, whichever VMs get
+// the requests. A restart, which loses the stored credit, grants no more than min_credit.
 class policy
 {
 public:
@@ -74,28 +82,28 @@
     // Decides on a retry. A permitted one is charged to the budget at once.
     decision after_failure(time_point now, const failure_report& failed);
 
-    // Retries that are charged to the budget at present, for logs and metrics.
-    std::uint64_t charged_retries(time_point now) const;
+    // Retries that the stored credit permits at present.
+    double available_credit(time_point now) const;
 
 private:
-    // Counts per step of 100 ms. Retries are counted over one step more than the window
-    // and requests over one step less, so that the budget holds in every window of this
-    // length, wherever it begins.
-    static constexpr std::size_t steps = 101;
+    // Requests of one step of time.
     static constexpr duration step_length = std::chrono::milliseconds(100);
+    static constexpr std::size_t steps = window / step_length;
     struct step
     {
         std::int64_t number = -1;
         std::uint32_t requests = 0;
-        std::uint32_t retries = 0;
     };
 
     step& current_step(time_point now);
-    bool consume_budget(time_point now);
+    double max_credit(time_point now) const;
+    double credit_per_request() const;
+    bool consume_credit(time_point now);
     duration backoff(std::uint32_t attempts);
 
     options settings;
     random_engine random;
+    double credit;
     std::array<step, steps> history{};
 };
 
--- a/pistachiospan/steering/steering.cpp
+++ b/pistachiospan/steering/steering.cpp
@@ -97,11 +97,7 @@
             return leaving || limits;
         },
         .version_received = this->hooks.version_received,
-        .vm_count_changed =
-            [this](std::size_t count)
-        {
-            this->note_vm_count(count);
-        },
+        .vm_count_changed = [this](std::size_t count) { this->note_vm_count(count); },
         .role_changed = this->hooks.role_changed,
         .token_done = [this](allowance::ticket id, const allowance::admission& outcome)
         { this->local_requests.finish_admission(this->hooks.now(), id, outcome); },
@@ -118,14 +114,8 @@
     const std::size_t before = std::exchange(this->vm_count, count);
     if (before == count)
         return;
-    std::uint64_t charged = 0;
-    for (const auto& [service, counts] :
-         this->local_requests.retry_totals(this->hooks.now()))
-        charged += counts.charged;
-    this->hooks.log("vm_count",
-                    {{"count", count}, {"before", before}, {"charged_retries", charged}});
+    this->hooks.log("vm_count", {{"count", count}, {"before", before}});
     this->known_upstreams.set_vm_count(count);
-    this->local_requests.set_vm_count(count);
 }
 
 void core::request_token(gateway::exchange_id id, const std::string& account)
--- a/pistachiospan/steering/steering.hpp
+++ b/pistachiospan/steering/steering.hpp
@@ -117,7 +117,7 @@
     bool learn_limits(time_point now, std::span<const upstreams::limit_notice> received);
     fleet::upstream_notices known_notices(time_point now, bool recent);
     void apply_limits(time_point now);
-    // The VMs share cold rates and the retry budget: this VM uses its part of them.
+    // The VMs share the rates of cold upstreams: this VM uses its part of them.
     void note_vm_count(std::size_t count);
     fleet_node::own_state current_state(time_point now) const;
     void request_token(gateway::exchange_id id, const std::string& account);
