Take the number of VMs down only after a while

Cause: a coordinator that has just started knows itself, one VM in each data centre that it has not heard, and the members that have reported. Its members adopted its count at once, though they knew a higher one.

A coordinator counts as many VMs in a data centre that it has not heard as it has itself, and names no count in the first 1.5 s of its process, so members reckon with what they know.

--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -220,8 +220,9 @@
     // Fraction of all VMs whose reports reach their coordinator, averaged over the data
     // centres. This data centre counts with `own_fraction`, overdue ones with 0.
     double reachable_fraction(double own_fraction) const;
-    // Number of VMs of the other data centres that take requests or may do so.
-    std::size_t vm_count() const;
+    // Number of VMs of the other data centres that take requests or may do so, with
+    // `assumed` for each data centre that has not been heard.
+    std::size_t vm_count(std::size_t assumed) const;
     // The coordinator that reads the store for this VM's region: the first, in order of
     // data centre names, whose last read is recent enough. Null if that is this VM, or if
     // no such coordinator is known.
--- a/pistachiospan/fleet/fleet_test.cpp
+++ b/pistachiospan/fleet/fleet_test.cpp
@@ -91,7 +91,7 @@
     next.epoch = 6;
     BOOST_TEST(others.observe(start, next).accepted);
     BOOST_TEST(!others.observe(start, report_of("n2", 9)).accepted);
-    BOOST_TEST(others.vm_count() == 2U);
+    BOOST_TEST(others.vm_count(0) == 2U);
 }
 
 // Guards against other data centres using the share of one that is only partitioned away
--- a/pistachiospan/fleet/membership.cpp
+++ b/pistachiospan/fleet/membership.cpp
@@ -364,11 +364,15 @@
     return reachable / static_cast<double>(all);
 }
 
-std::size_t membership::vm_count() const
+std::size_t membership::vm_count(std::size_t assumed) const
 {
     std::size_t count = 0;
     for (const auto& [data_centre, each] : this->peers)
         count += each.last_report.vms.size();
+    for (const auto& [data_centre, region] : this->options.regions)
+        if (data_centre != this->options.data_centre &&
+            !this->peers.contains(data_centre))
+            count += assumed;
     return count;
 }
 
--- a/pistachiospan/fleet_node/fleet_node.cpp
+++ b/pistachiospan/fleet_node/fleet_node.cpp
@@ -19,6 +19,8 @@
 // Number of VMs assumed until the first count is known. High, so that this VM's share of
 // the rates is not too large.
 constexpr std::size_t assumed_vm_count = 10000;
+// A coordinator that has just started has heard all its members by then.
+constexpr duration count_settling_time = std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -37,7 +39,7 @@
       upstream_tokens(
           {.data_centres = this->options.places.size(), .admits_unknown = false},
           this->upstream_token_hooks()),
-      coordinator_read_at(now)
+      coordinator_read_at(now), started_at(now)
 {
 }
 
@@ -118,7 +120,7 @@
                         .registry_change = coordinator_report.registry_change,
                         .configuration_version = coordinator_report.configuration_version,
                         .table_staleness = this->hooks.state(now).table_staleness,
-                        .vm_count = this->vm_count()};
+                        .vm_count = this->vm_counts.highest(now)};
     digest.coordinator.received.clear(); // concerns coordinators only
     if (const auto best = this->best_informed(now, digest.operator_change, UINT64_MAX))
         digest.operator_change = best->operator_change;
@@ -497,7 +499,8 @@
         this->caller_addresses[data_centre] = list;
     if (!incoming.coordinators.empty())
         this->coordinators = incoming.coordinators;
-    this->reported_vm_count = incoming.vm_count;
+    if (incoming.vm_count > 0)
+        this->vm_counts.note(now, incoming.vm_count);
     this->apply_vm_count(now);
     this->hooks.leaving_received(now, incoming.coordinator.leaving_upstreams);
     if (!incoming.plans.empty())
@@ -514,21 +517,21 @@
     this->check(now);
 }
 
-std::size_t node::vm_count() const
+std::size_t node::count_vms(time_point now) const
 {
-    const std::size_t counted =
-        this->membership.vm_count() + this->local_cell.known_count();
-    // A new coordinator does not know all of them yet.
-    return std::max(counted, this->reported_vm_count);
+    if (now - this->started_at < count_settling_time)
+        return 0;
+    const std::size_t here = this->local_cell.known_count();
+    // A data centre that has not been heard may be cut off.
+    return here + this->membership.vm_count(here);
 }
 
 void node::apply_vm_count(time_point now)
 {
-    const bool known = this->reported_vm_count > 0 || this->local_cell.is_coordinator();
-    // A VM that has started alone knows no others, but each data centre has one at least.
-    const std::size_t count =
-        known ? std::max(this->vm_count(), this->options.places.size())
-              : assumed_vm_count;
+    if (this->local_cell.is_coordinator())
+        this->vm_counts.note(now, this->count_vms(now));
+    const std::size_t known = this->vm_counts.highest(now);
+    const std::size_t count = known > 0 ? known : assumed_vm_count;
     this->hooks.vm_count_changed(count);
     this->upstream_tokens.set_fallback_share(now, 1 / static_cast<double>(count));
 }
--- a/pistachiospan/fleet_node/fleet_node.hpp
+++ b/pistachiospan/fleet_node/fleet_node.hpp
@@ -21,6 +21,7 @@
 
 #include "pistachiospan/cell/cell.hpp"
 #include "pistachiospan/fleet_node/internal/token_exchange.hpp"
+#include "pistachiospan/fleet_node/internal/vm_count.hpp"
 
 namespace pistachiospan::fleet_node
 {
@@ -205,7 +206,8 @@
     void apply_digest(time_point now, const cell::digest& incoming);
     void handle_coordinator_report(time_point now, const fleet::report& incoming);
     void handle_member_report(time_point now, const fleet::report& incoming);
-    std::size_t vm_count() const;
+    // All VMs as far as this coordinator knows; 0 if it has just started.
+    std::size_t count_vms(time_point now) const;
     std::vector<fleet::coordinator_entry> known_coordinators(time_point now) const;
     std::vector<std::string> reachable_data_centres(time_point now) const;
     std::string reachable_coordinator(time_point now,
@@ -242,7 +244,8 @@
     duration coordinator_table_staleness{0};
     fleet::address_lists caller_addresses;
     std::vector<fleet::coordinator_entry> coordinators;
-    std::size_t reported_vm_count = 0;
+    internal::vm_count vm_counts; // counted here, or told by the coordinator
+    time_point started_at;
     // Coordinators only: content of the last digest.
     fleet::address_lists sent_lists;
     std::vector<fleet::vm_entry> sent_members;
--- a/pistachiospan/fleet_node/fleet_node_test.cpp
+++ b/pistachiospan/fleet_node/fleet_node_test.cpp
@@ -294,3 +294,52 @@
     all.run(5s);
     BOOST_TEST(all.vms[3].vm_count == 8U);
 }
+
+namespace
+{
+
+// The most that the VMs used together, while `span` passed, of what all VMs share: each
+// uses its part by the number of VMs that it assumes.
+double largest_sum_of_parts(model& all, duration span)
+{
+    double largest = 0;
+    for (const time_point end = all.now + span; all.now < end; all.run(50ms))
+    {
+        double sum = 0;
+        for (const vm_state& each : all.vms)
+            if (each.alive && each.vm_count > 0)
+                sum += 1 / static_cast<double>(each.vm_count);
+        largest = std::max(largest, sum);
+    }
+    return largest;
+}
+
+} // namespace
+
+// Guards against VMs that use what all VMs share, such as the rate of a cold upstream,
+// several times over after coordinators have started again: these know few VMs at first,
+// and the members used to believe them (81 VMs that used 3.15 times the whole).
+BOOST_AUTO_TEST_CASE(parts_of_all_vms_keep_to_the_whole_while_vms_restart)
+{
+    constexpr double tolerated = 1.1;
+    for (const std::uint64_t seed : {1U, 2U, 3U})
+    {
+        model all({.centres = 6, .vms = 48, .seed = seed});
+        all.run(15s);
+        for (std::size_t centre = 0; centre < 6; ++centre)
+        {
+            const std::size_t restarted = all.coordinator_of(centre);
+            all.kill(restarted);
+            all.vms[restarted].vm_count = 0;
+            all.after(500ms, [&all, restarted] { all.start(restarted); });
+        }
+        BOOST_TEST(largest_sum_of_parts(all, 10s) <= tolerated, "coordinators");
+        for (std::size_t each = 0; each < all.vms.size(); ++each)
+        {
+            all.kill(each);
+            all.vms[each].vm_count = 0;
+            all.after(1s + each * 20ms, [&all, each] { all.start(each); });
+        }
+        BOOST_TEST(largest_sum_of_parts(all, 10s) <= tolerated, "all VMs");
+    }
+}
