Charge a retry to the budget only when it is sent

A retry was charged when it was decided; if no other upstream could take the request then, it was refused and the credit was lost, so that others were denied a retry that could have been sent. The credit is returned now.

--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -116,6 +116,12 @@
         .first->second;
 }
 
+void gateway::return_retry(time_point now, const pending_request& pending)
+{
+    if (pending.holds_retry)
+        this->policy_of(pending.service).give_back(now);
+}
+
 void gateway::submit(time_point now, exchange_id exchange, caller_request incoming)
 {
     ++this->total.submitted;
@@ -191,6 +197,7 @@
     {
         if (pending.holds_token && !pending.may_have_run)
             this->hooks.return_token(pending.account->name);
+        this->return_retry(now, pending);
         this->requests.erase(found);
         return;
     }
@@ -320,6 +327,11 @@
     pending.upstream = pending.chosen.id;
     pending.sent_at = now;
     ++pending.attempts;
+    if (std::exchange(pending.holds_retry, false))
+    {
+        ++this->total.retries;
+        ++this->retry_total[pending.service].sent;
+    }
     ++this->total.attempts;
     this->upstreams.begin(now, pending.chosen);
     pending.call = this->hooks.send(
@@ -421,12 +433,11 @@
                                  .not_run = not_run,
                                  .attempts = pending.attempts,
                                  .deadline = pending.deadline});
-    retry_counts& total = this->retry_total[pending.service];
-    total.denied += decision.why == retry::reason::budget ? 1 : 0;
+    if (decision.why == retry::reason::budget)
+        ++this->retry_total[pending.service].denied;
     if (!decision.retry)
         return false;
-    ++this->total.retries;
-    ++total.sent;
+    pending.holds_retry = true;
     pending.excluded.push_back(pending.upstream);
     this->report(now, "retried", pending, refusal::none, 0,
                  not_run ? "not run" : "failed or broken");
@@ -467,6 +478,7 @@
                      const refusal_answer& answer, std::string_view detail)
 {
     this->report(now, "refused", pending, answer.reason, 0, detail);
+    this->return_retry(now, pending);
     this->requests.erase(exchange);
     this->hooks.refuse(exchange, answer);
 }
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -273,6 +273,7 @@
         bool caller_gone = false;
         token_wait waits_for = token_wait::none;
         bool holds_token = false;  // of the account
+        bool holds_retry = false;  // a retry is charged and not sent yet
         bool was_selected = false; // an upstream for it, before
         // Decisions about tokens of upstreams' limits after which it was not sent.
         std::uint32_t unused_admissions = 0;
@@ -295,6 +296,8 @@
     void report(time_point now, std::string_view event, const pending_request& pending,
                 refusal reason, int status, std::string_view detail) const;
     retry::policy& policy_of(const std::string& service);
+    // Returns the credit of a retry that was charged to the budget and not sent.
+    void return_retry(time_point now, const pending_request& pending);
     double admission_fraction_for(const pending_request& pending) const;
     duration upstream_time_limit(time_point now, const pending_request& pending) const;
     duration admission_time_limit(time_point now, const pending_request& pending) const;
--- a/pistachiospan/gateway/gateway_test.cpp
+++ b/pistachiospan/gateway/gateway_test.cpp
@@ -244,6 +244,29 @@
     BOOST_TEST(totals.retries <= requests * 0.2 + 30);
 }
 
+// Guards against a budget that is used up by retries which found no upstream, so that
+// others which could be sent are denied.
+BOOST_AUTO_TEST_CASE(retry_that_is_not_sent_is_not_charged)
+{
+    fixture test;
+    test.submit(1, "/read/1");
+    test.known.remove(test.sent.front().upstream == "u1" ? "u2" : "u1");
+    test.end(1, attempt_outcome::not_run);
+    BOOST_TEST(test.sent.size() == 1U);
+    BOOST_TEST(test.refused.size() == 1U);
+    BOOST_TEST(test.requests.totals().retries == 0U);
+    for (const char* id : {"u1", "u2"})
+        test.known.update(start, {.id = id,
+                                  .service = "orders",
+                                  .address = id,
+                                  .data_centre = "n1",
+                                  .slots = 3});
+    test.submit(2, "/read/2");
+    test.end(2, attempt_outcome::not_run);
+    BOOST_TEST(test.sent.size() == 3U);
+    BOOST_TEST(test.requests.retry_totals(test.now).at("orders").sent == 1U);
+}
+
 // Guards against running requests with an unknown key, no key or no route.
 BOOST_AUTO_TEST_CASE(unknown_key_and_route_are_refused)
 {
--- a/pistachiospan/retry/retry.cpp
+++ b/pistachiospan/retry/retry.cpp
@@ -47,6 +47,12 @@
     this->credit = this->available_credit(now);
 }
 
+void policy::give_back(time_point now)
+{
+    this->credit += 1;
+    this->credit = this->available_credit(now);
+}
+
 bool policy::consume_credit(time_point now)
 {
     this->credit = this->available_credit(now);
--- a/pistachiospan/retry/retry.hpp
+++ b/pistachiospan/retry/retry.hpp
@@ -82,6 +82,9 @@
     // Decides on a retry. A permitted one is charged to the budget at once.
     decision after_failure(time_point now, const failure_report& failed);
 
+    // Returns the credit of a permitted retry that was not sent.
+    void give_back(time_point now);
+
     // Retries that the stored credit permits at present.
     double available_credit(time_point now) const;
 
