Hold signals back until there are handlers for them

Cause: until the daemon has installed its handlers a SIGTERM ends it. The daemons now hold the signals back from the start of main until they have handlers, and the soak starts them with the signals held, so that the time before main does not count.

--- a/pistachiospan/event_loop/event_loop.cpp
+++ b/pistachiospan/event_loop/event_loop.cpp
@@ -1,5 +1,6 @@
 #include "pistachiospan/event_loop/event_loop.hpp"
 
+#include <csignal>
 #include <iostream>
 
 namespace pistachiospan::event_loop
@@ -47,4 +48,21 @@
     return false;
 }
 
+void hold_signals(std::span<const int> signal_numbers)
+{
+    sigset_t held;
+    sigemptyset(&held);
+    for (const int each : signal_numbers)
+        sigaddset(&held, each);
+    pthread_sigmask(SIG_BLOCK, &held, nullptr);
+}
+
+void signal_handler::release_signal(int signal_number)
+{
+    sigset_t released;
+    sigemptyset(&released);
+    sigaddset(&released, signal_number);
+    pthread_sigmask(SIG_UNBLOCK, &released, nullptr);
+}
+
 } // namespace pistachiospan::event_loop
--- a/pistachiospan/event_loop/event_loop.hpp
+++ b/pistachiospan/event_loop/event_loop.hpp
@@ -15,6 +15,7 @@
 #include <event2/event.h>
 
 #include <memory>
+#include <span>
 
 namespace pistachiospan::event_loop
 {
@@ -124,6 +125,11 @@
     event_ptr timer;
 };
 
+// Holds these signals back until there is a signal_handler for them, which then handles
+// one that has arrived. Without this, a signal that arrives while the process starts ends
+// it. Call before the process accepts work and starts threads.
+void hold_signals(std::span<const int> signal_numbers);
+
 // Calls `on_signal` from the loop whenever the process receives signal `signal_number`.
 class signal_handler
 {
@@ -137,12 +143,15 @@
               this))
     {
         event_add(this->signal_event.get(), nullptr);
+        release_signal(signal_number);
     }
 
     signal_handler(const signal_handler&) = delete;
     signal_handler& operator=(const signal_handler&) = delete;
 
 private:
+    static void release_signal(int signal_number);
+
     std::function<void()> on_signal;
     event_ptr signal_event;
 };
--- a/tools/pistachiospand.cpp
+++ b/tools/pistachiospand.cpp
@@ -1,6 +1,7 @@
 // pistachiospand, the entry daemon: one process on each entry VM.
 
 #include "pistachiospan/daemon/daemon.hpp"
+#include "pistachiospan/event_loop/event_loop.hpp"
 
 #include <event2/event.h>
 #include <log4cplus/configurator.h>
@@ -8,6 +9,7 @@
 #include <log4cplus/initializer.h>
 #include <popt.h>
 
+#include <array>
 #include <csignal>
 #include <iostream>
 
@@ -55,6 +57,7 @@
         std::cerr << settings.error().message << '\n';
         return exit_usage;
     }
+    pistachiospan::event_loop::hold_signals(std::array{SIGTERM, SIGINT});
     const log4cplus::Initializer logs;
     set_up_logs(settings.value().level);
     std::signal(SIGPIPE, SIG_IGN);
--- a/tools/soak/vm_process.cpp
+++ b/tools/soak/vm_process.cpp
@@ -45,8 +45,19 @@
     std::string flag = "--settings";
     std::string path = settings;
     char* arguments[] = {daemon.data(), flag.data(), path.data(), nullptr};
+    // A signal before the daemon's first instruction would end it whatever it does. The
+    // daemon releases signals when it has handlers for them.
+    sigset_t held;
+    sigemptyset(&held);
+    for (const int each : {SIGTERM, SIGHUP})
+        sigaddset(&held, each);
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    posix_spawnattr_setsigmask(&attributes, &held);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
     const int failed =
-        posix_spawn(&this->pid, daemon.c_str(), &files, nullptr, arguments, environ);
+        posix_spawn(&this->pid, daemon.c_str(), &files, &attributes, arguments, environ);
+    posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&files);
     if (failed != 0)
         throw std::runtime_error("cannot start " + daemon + "; build pistachio-edge");
