Log when the store comes back from an older copy and what is passed over

The generation that the store names in its answers is read; a line store_restored gives the new one, and a line passed_over each page or row that was not applied because the copy is at a later version. Logic is unchanged.

--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -107,6 +107,8 @@
     };
 
     follower_hooks make_hooks(table which);
+    // Adds what is logged about the copy.
+    mirror::mirror_hooks with_logs(table which, mirror::mirror_hooks applied) const;
     void finish_read(table which, const read_outcome& outcome);
     // False if reads of either table have failed for `follower_options::lost_after`.
     bool reaches_store(time_point now) const;
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -34,12 +34,32 @@
     return std::max(this->copy.newest_change(), this->requested_change);
 }
 
+mirror::mirror_hooks store_view::with_logs(table which,
+                                           mirror::mirror_hooks applied) const
+{
+    applied.passed_over = [this, which](const mirror::passed_over& what)
+    {
+        this->hooks.log("passed_over", {{"table", name_of(which)},
+                                        {"key", what.key},
+                                        {"version", what.version},
+                                        {"known", what.known}});
+    };
+    applied.restored = [this, which](std::uint64_t next, std::uint64_t before)
+    {
+        this->hooks.log(
+            "store_restored",
+            {{"table", name_of(which)}, {"generation", next}, {"before", before}});
+    };
+    return applied;
+}
+
 store_view::store_view(event_base* base, store_view_options options,
                        const store_access& store, peer_link& peers,
                        fleet_node::node& fleet, store_view_hooks hooks)
     : options(options), peers(peers), fleet(fleet), hooks(std::move(hooks)),
       operator_rows(*this, base, {.followed = table::operator_rows}, store,
-                    {.instance = this->options.instance}, this->hooks.operator_rows),
+                    {.instance = this->options.instance},
+                    this->with_logs(table::operator_rows, this->hooks.operator_rows)),
       upstreams(*this, base,
                 {.followed = table::upstreams,
                  .min_interval = this->options.registry_min_interval,
@@ -47,7 +67,7 @@
                 store,
                 {.removal_grace = this->options.removal_grace,
                  .instance = this->options.instance},
-                this->hooks.upstreams)
+                this->with_logs(table::upstreams, this->hooks.upstreams))
 {
 }
 
--- a/pistachiospan/mirror/mirror.cpp
+++ b/pistachiospan/mirror/mirror.cpp
@@ -70,12 +70,35 @@
     this->held_removals.erase(update.key);
     row& current = this->rows[update.key];
     if (current.version >= update.version)
+    {
+        if (current.value != update.value)
+            this->report_passed_over({update.key, update.version, current.version});
         return;
+    }
     current = update;
     this->append_history(update);
     this->hooks.changed(update);
 }
 
+void table_mirror::report_passed_over(const passed_over& what) const
+{
+    if (this->hooks.passed_over)
+        this->hooks.passed_over(what);
+}
+
+// False if the page is from before the copy's position.
+bool table_mirror::is_later(const page& received)
+{
+    const std::uint64_t before =
+        std::exchange(this->generation, std::max(this->generation, received.generation));
+    if (before != this->generation && before != 0 && this->hooks.restored)
+        this->hooks.restored(this->generation, before);
+    if (received.position >= this->current_position)
+        return true;
+    this->report_passed_over({{}, received.position, this->current_position});
+    return false;
+}
+
 void table_mirror::append_history(const row& change)
 {
     this->last_change = std::max(this->last_change, change.version);
@@ -113,7 +136,7 @@
 
 void table_mirror::apply_snapshot(time_point now, const page& all, origin from)
 {
-    if (all.position < this->current_position)
+    if (!this->is_later(all))
         return;
     const bool after_outage = from == origin::store && this->end_outage(now);
     std::set<std::string> present;
@@ -139,7 +162,7 @@
 
 void table_mirror::apply_changes(time_point now, const page& changes, origin from)
 {
-    if (changes.position < this->current_position)
+    if (!this->is_later(changes))
         return;
     const bool after_outage = from == origin::store && this->end_outage(now);
     for (const row& each : changes.rows)
@@ -149,7 +172,10 @@
         const bool older =
             known != this->rows.end() && known->second.version > each.version;
         if (older)
+        {
+            this->report_passed_over({each.key, each.version, known->second.version});
             continue;
+        }
         if (!each.deleted)
             this->set(each);
         else if (after_outage)
--- a/pistachiospan/mirror/mirror.hpp
+++ b/pistachiospan/mirror/mirror.hpp
@@ -36,6 +36,9 @@
 {
     std::vector<row> rows;
     std::uint64_t position = 0;
+    // Rises each time the store comes back from an older copy; 0 if the store does not
+    // say.
+    std::uint64_t generation = 0;
 };
 
 // Page that one VM sends to another: all rows (`is_snapshot`) or the changes after a
@@ -67,10 +70,23 @@
     std::size_t history_size = 1024; // changes kept for other VMs
 };
 
+// Something that the store sent and that was not applied, because the copy is at a later
+// version.
+struct passed_over
+{
+    std::string key;           // of the row; empty: a whole page
+    std::uint64_t version = 0; // that was received
+    std::uint64_t known = 0;   // of the copy
+};
+
 struct mirror_hooks
 {
     std::function<void(const row&)> changed;
     std::function<void(const std::string& key)> removed;
+    // For logs. Rows that are as they were are not reported.
+    std::function<void(const passed_over&)> passed_over = nullptr;
+    // The store came back from an older copy: the generation and the one before.
+    std::function<void(std::uint64_t next, std::uint64_t before)> restored = nullptr;
 };
 
 enum class origin
@@ -122,6 +138,8 @@
 
 private:
     void set(const row& update);
+    bool is_later(const page& received);
+    void report_passed_over(const passed_over& what) const;
     // Returns true if the read that has just succeeded is the first one after an outage.
     bool end_outage(time_point now);
     void remove(const std::string& key, std::uint64_t version);
@@ -138,6 +156,7 @@
     };
     std::map<std::string, removal> held_removals; // removals that take effect later
     std::uint64_t current_position = 0;
+    std::uint64_t generation = 0;
     std::uint64_t last_change = 0;
     std::uint64_t changes = 0; // number of changes of this copy
     std::deque<row> history;   // the latest changes
