Compare versions and contents across a restore of the store

Cause: the copy of a table moves forward only, and the store gives out its versions again after a restore.

The fix: the adapter puts the generation that the store names above the number of each version, so that all versions go on rising wherever they are compared, and reports a read across a restore as stale. What that says nothing about, the age of the contents, is told by a configuration's version and by an upstream's start and sequence: older contents are passed over, rows that the restored store lacks are kept until they are written again, and rows that had been removed wait before they are used again.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -297,18 +297,14 @@
 {
     return {.operator_rows = {.changed = [this](const mirror::row& row)
                               { this->apply_operator_row(row); },
-                              .removed =
-                                  [this](const std::string&)
-                              {
-                                  this->apply_evacuations(0);
-                              }},
+                              .removed = [this](const std::string&)
+                              { this->apply_evacuations(0); },
+                              .age_of = this->codec.age_of_operator_row},
             .upstreams = {.changed = [this](const mirror::row& row)
                           { this->apply_upstream(row); },
-                          .removed =
-                              [this](const std::string& id)
-                          {
-                              this->remove_upstream(id);
-                          }},
+                          .removed = [this](const std::string& id)
+                          { this->remove_upstream(id); },
+                          .age_of = this->codec.age_of_upstream},
             .log = [this](std::string_view event, const fields& content)
             { this->log(event, content); },
             .read_finished =
@@ -391,7 +387,8 @@
             {"wait_ms", to_milliseconds(decision.wait)},
             {"objective_ms", to_milliseconds(decision.objective)},
             {"load", decision.load},
-            {"store_position", this->tables.copy(table::upstreams).position()},
+            {"store_position",
+             store_version::number_of(this->tables.copy(table::upstreams).position())},
             {"detail", decision.detail}};
 }
 
@@ -448,8 +445,9 @@
         this->codec.decode_configuration(changed.value);
     if (!decoded)
     {
-        this->log("configuration_rejected", {{"row_version", changed.version},
-                                             {"problem", decoded.error().message}});
+        this->log("configuration_rejected",
+                  {{"row_version", store_version::number_of(changed.version)},
+                   {"problem", decoded.error().message}});
         return;
     }
     const auto next =
@@ -475,10 +473,11 @@
              reserved_descriptors,
          .header_timeout = next->limits().header_timeout,
          .idle_timeout = next->limits().idle_timeout});
-    this->log("configuration", {{"version", next->version()},
-                                {"row_version", changed.version},
-                                {"routes", next->routes().size()},
-                                {"accounts", next->accounts().size()}});
+    this->log("configuration",
+              {{"version", next->version()},
+               {"row_version", store_version::number_of(changed.version)},
+               {"routes", next->routes().size()},
+               {"accounts", next->accounts().size()}});
 }
 
 void edge_daemon::implementation::apply_evacuations(std::uint64_t version)
@@ -531,7 +530,7 @@
                                {"change", change},
                                {"service", decoded.value().service},
                                {"address", decoded.value().address},
-                               {"row_version", changed.version},
+                               {"row_version", store_version::number_of(changed.version)},
                                {"cold_ms", to_milliseconds(decoded.value().cold_left)}});
 }
 
@@ -628,7 +627,9 @@
     set("limited_upstreams", this->core.upstreams().limited_upstreams().size());
     set("upstream_connections_opened", this->upstream_client.connections_opened());
     set("caller_connections", this->callers.connections());
-    set("store_position", this->tables.copy(table::upstreams).position());
+    const std::uint64_t position = this->tables.copy(table::upstreams).position();
+    set("store_position", store_version::number_of(position));
+    set("store_generation", store_version::generation_of(position));
     set("log_lines_left_out", this->events.suppressed_lines());
     set("log_lines_lost", this->events.dropped_lines());
     for (const auto& [service, counts] :
--- a/pistachiospan/edge/edge.hpp
+++ b/pistachiospan/edge/edge.hpp
@@ -105,6 +105,13 @@
     std::function<std::optional<std::string>(std::string_view key)> decode_evacuation;
     std::function<result<upstreams::entry>(std::string_view key, std::string_view value)>
         decode_upstream;
+    // The age of the content of a row, compared with the known one of the same key.
+    std::function<mirror::content_age(const mirror::row& received,
+                                      const mirror::row& known)>
+        age_of_operator_row;
+    std::function<mirror::content_age(const mirror::row& received,
+                                      const mirror::row& known)>
+        age_of_upstream;
     std::string correlation_header; // that upstreams echo in their answers
 };
 
--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -68,7 +68,7 @@
 void follower::read_store()
 {
     const std::uint64_t sequence = this->read_sequence;
-    const bool is_snapshot = this->snapshot_needed;
+    const bool is_snapshot = this->snapshot_needed || this->copy.needs_snapshot();
     const auto done = [this, sequence, is_snapshot](const result<mirror::page>& outcome)
     {
         this->finish_store_read(sequence, outcome, is_snapshot);
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -37,8 +37,8 @@
     // How long the store holds a registry read open. Its completion shows the VMs that
     // read from this one that the store still answers.
     duration registry_wait = std::chrono::milliseconds(600);
-    // Entries that expired while the store was unreachable are registered again within
-    // about 2 s.
+    // Entries that expired while the store was unreachable, or were lost when it came
+    // back from an older copy, are registered again within about 2 s.
     duration removal_grace = std::chrono::milliseconds(2100);
 };
 
@@ -108,7 +108,7 @@
 
     follower_hooks make_hooks(table which);
     // Adds what is logged about the copy.
-    mirror::mirror_hooks with_logs(table which, mirror::mirror_hooks applied) const;
+    mirror::mirror_hooks with_logs(table which, mirror::mirror_hooks applied);
     void finish_read(table which, const read_outcome& outcome);
     // False if reads of either table have failed for `follower_options::lost_after`.
     bool reaches_store(time_point now) const;
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -7,6 +7,7 @@
 {
 
 using event_loop::monotonic_now;
+using store_version::number_of;
 
 namespace
 {
@@ -34,21 +35,25 @@
     return std::max(this->copy.newest_change(), this->requested_change);
 }
 
-mirror::mirror_hooks store_view::with_logs(table which,
-                                           mirror::mirror_hooks applied) const
+mirror::mirror_hooks store_view::with_logs(table which, mirror::mirror_hooks applied)
 {
     applied.passed_over = [this, which](const mirror::passed_over& what)
     {
-        this->hooks.log("passed_over", {{"table", name_of(which)},
-                                        {"key", what.key},
-                                        {"version", what.version},
-                                        {"known", what.known}});
+        this->hooks.log("passed_over",
+                        {{"table", name_of(which)},
+                         {"key", what.key},
+                         {"version", store_version::number_of(what.version)},
+                         {"generation", store_version::generation_of(what.version)},
+                         {"known", store_version::number_of(what.known)},
+                         {"known_generation", store_version::generation_of(what.known)}});
     };
-    applied.restored = [this, which](std::uint64_t next, std::uint64_t before)
+    applied.restored = [this, which]
     {
-        this->hooks.log(
-            "store_restored",
-            {{"table", name_of(which)}, {"generation", next}, {"before", before}});
+        const std::uint64_t position = this->copy(which).position();
+        this->hooks.log("store_restored",
+                        {{"table", name_of(which)},
+                         {"position", store_version::number_of(position)},
+                         {"generation", store_version::generation_of(position)}});
     };
     return applied;
 }
@@ -66,6 +71,7 @@
                  .wait = this->options.registry_wait},
                 store,
                 {.removal_grace = this->options.removal_grace,
+                 .restore_grace = this->options.removal_grace,
                  .instance = this->options.instance},
                 this->with_logs(table::upstreams, this->hooks.upstreams))
 {
@@ -220,12 +226,13 @@
     if (now - this->behind_since < this->options.behind_limit)
         return;
     const time_point since = std::exchange(this->behind_since, now);
-    this->hooks.log("tables_behind",
-                    {{"peer", best->vm.value},
-                     {"peer_operator_change", best->operator_change},
-                     {"operator_change", this->operator_rows.copy.newest_change()},
-                     {"peer_registry_change", best->registry_change},
-                     {"registry_change", this->upstreams.copy.newest_change()}});
+    this->hooks.log(
+        "tables_behind",
+        {{"peer", best->vm.value},
+         {"peer_operator_change", number_of(best->operator_change)},
+         {"operator_change", number_of(this->operator_rows.copy.newest_change())},
+         {"peer_registry_change", number_of(best->registry_change)},
+         {"registry_change", number_of(this->upstreams.copy.newest_change())}});
     read_if_behind(this->operator_rows, best->operator_change, since);
     read_if_behind(this->upstreams, best->registry_change, since);
 }
--- a/pistachiospan/mirror/mirror.cpp
+++ b/pistachiospan/mirror/mirror.cpp
@@ -68,6 +68,7 @@
 void table_mirror::set(const row& update)
 {
     this->held_removals.erase(update.key);
+    this->revived_rows.erase(update.key);
     row& current = this->rows[update.key];
     if (current.version >= update.version)
     {
@@ -76,6 +77,7 @@
         return;
     }
     current = update;
+    this->removed_rows.erase(update.key);
     this->append_history(update);
     this->hooks.changed(update);
 }
@@ -86,19 +88,76 @@
         this->hooks.passed_over(what);
 }
 
-// False if the page is from before the copy's position.
-bool table_mirror::is_later(const page& received)
+bool table_mirror::is_later(const page& received) const
 {
-    const std::uint64_t before =
-        std::exchange(this->generation, std::max(this->generation, received.generation));
-    if (before != this->generation && before != 0 && this->hooks.restored)
-        this->hooks.restored(this->generation, before);
     if (received.position >= this->current_position)
         return true;
     this->report_passed_over({{}, received.position, this->current_position});
     return false;
 }
 
+bool table_mirror::is_restored(const page& received) const
+{
+    return this->loaded() && store_version::generation_of(received.position) >
+                                 store_version::generation_of(this->current_position);
+}
+
+// Within a generation the versions tell the age.
+content_age table_mirror::age_of(const row& received, const row& known) const
+{
+    const bool is_comparable = store_version::generation_of(known.version) ==
+                               store_version::generation_of(received.version);
+    return is_comparable || !this->hooks.age_of ? content_age::unknown
+                                                : this->hooks.age_of(received, known);
+}
+
+bool table_mirror::is_outdated(const row& received) const
+{
+    const auto known = this->rows.find(received.key);
+    return known != this->rows.end() &&
+           this->age_of(received, known->second) == content_age::older;
+}
+
+bool table_mirror::may_be_revived(const row& received, bool in_restored_page) const
+{
+    const auto removed = this->removed_rows.find(received.key);
+    if (removed == this->removed_rows.end())
+        return false;
+    const auto held = this->revived_rows.find(received.key);
+    if (held != this->revived_rows.end() &&
+        held->second.received.version == received.version)
+        return true;
+    const content_age age = this->age_of(received, removed->second.last);
+    // A row of unknown age is taken to be new if it was written since the restore.
+    return age == content_age::older || age == content_age::same ||
+           (age == content_age::unknown && in_restored_page);
+}
+
+// Applies a row that is present in the store.
+void table_mirror::apply(time_point now, const row& received, bool in_restored_page)
+{
+    if (this->is_outdated(received))
+        this->report_passed_over(
+            {received.key, received.version, this->known_version(received.key)});
+    else if (this->may_be_revived(received, in_restored_page))
+        this->hold_revival(now, received);
+    else
+        this->set(received);
+}
+
+void table_mirror::hold_revival(time_point now, const row& received)
+{
+    const time_point due = now + this->options.revival_delay;
+    this->revived_rows.try_emplace(received.key, revived_row{.due = due})
+        .first->second.received = received;
+}
+
+std::uint64_t table_mirror::known_version(const std::string& key) const
+{
+    const auto known = this->rows.find(key);
+    return known == this->rows.end() ? 0 : known->second.version;
+}
+
 void table_mirror::append_history(const row& change)
 {
     this->last_change = std::max(this->last_change, change.version);
@@ -108,24 +167,26 @@
         this->history.pop_front();
 }
 
-void table_mirror::remove(const std::string& key, std::uint64_t version)
+void table_mirror::remove(time_point now, const std::string& key, std::uint64_t version)
 {
     this->held_removals.erase(key);
+    this->revived_rows.erase(key);
     const auto found = this->rows.find(key);
     if (found == this->rows.end())
         return;
+    this->removed_rows.insert_or_assign(key,
+                                        removed_row{.last = found->second, .at = now});
     const row removal_row{.key = key, .version = version, .deleted = true};
     this->rows.erase(found);
     this->append_history(removal_row);
     this->hooks.removed(key);
 }
 
-void table_mirror::hold_removal(time_point now, const std::string& key,
+void table_mirror::hold_removal(time_point due, const std::string& key,
                                 std::uint64_t version)
 {
     if (this->rows.contains(key))
-        this->held_removals.emplace(
-            key, removal{.due = now + this->options.removal_grace, .version = version});
+        this->held_removals.emplace(key, removal{.due = due, .version = version});
 }
 
 bool table_mirror::end_outage(time_point now)
@@ -139,11 +200,13 @@
     if (!this->is_later(all))
         return;
     const bool after_outage = from == origin::store && this->end_outage(now);
+    const bool restored =
+        this->is_restored(all) || (from == origin::store && this->restore_unread);
     std::set<std::string> present;
     for (const row& each : all.rows)
     {
         present.insert(each.key);
-        this->set(each);
+        this->apply(now, each, restored);
     }
     std::vector<row> missing;
     for (const auto& [key, each] : this->rows)
@@ -152,12 +215,24 @@
     for (const row& each : missing)
     {
         // A missing row does not show the version of its removal.
-        if (after_outage)
-            this->hold_removal(now, each.key, each.version);
-        else
-            this->remove(each.key, each.version);
+        if (restored)
+            this->hold_removal(now + this->options.restore_grace, each.key, each.version);
+        else if (after_outage)
+            this->hold_removal(now + this->options.removal_grace, each.key, each.version);
+        else if (!this->held_removals.contains(each.key))
+            this->remove(now, each.key, each.version);
     }
-    this->current_position = all.position;
+    this->finish_page(all, from, restored);
+}
+
+void table_mirror::finish_page(const page& received, origin from, bool restored)
+{
+    this->current_position = received.position;
+    if (!restored)
+        return;
+    const bool is_known = std::exchange(this->restore_unread, from == origin::peer);
+    if (!is_known && this->hooks.restored)
+        this->hooks.restored();
 }
 
 void table_mirror::apply_changes(time_point now, const page& changes, origin from)
@@ -165,25 +240,21 @@
     if (!this->is_later(changes))
         return;
     const bool after_outage = from == origin::store && this->end_outage(now);
+    const bool restored = this->is_restored(changes);
     for (const row& each : changes.rows)
     {
         this->last_change = std::max(this->last_change, each.version);
-        const auto known = this->rows.find(each.key);
-        const bool older =
-            known != this->rows.end() && known->second.version > each.version;
-        if (older)
-        {
-            this->report_passed_over({each.key, each.version, known->second.version});
-            continue;
-        }
-        if (!each.deleted)
-            this->set(each);
+        const std::uint64_t known = this->known_version(each.key);
+        if (known > each.version)
+            this->report_passed_over({each.key, each.version, known});
+        else if (!each.deleted)
+            this->apply(now, each, false);
         else if (after_outage)
-            this->hold_removal(now, each.key, each.version);
+            this->hold_removal(now + this->options.removal_grace, each.key, each.version);
         else
-            this->remove(each.key, each.version);
+            this->remove(now, each.key, each.version);
     }
-    this->current_position = changes.position;
+    this->finish_page(changes, from, restored);
 }
 
 void table_mirror::note_read_failure(time_point now)
@@ -201,7 +272,15 @@
         if (now >= each.due)
             due.emplace_back(key, each.version);
     for (const auto& [key, version] : due)
-        this->remove(key, version);
+        this->remove(now, key, version);
+    std::vector<row> revived;
+    for (const auto& [key, each] : this->revived_rows)
+        if (now >= each.due)
+            revived.push_back(each.received);
+    for (const row& each : revived)
+        this->set(each);
+    std::erase_if(this->removed_rows, [&](const auto& each)
+                  { return now - each.second.at > this->options.removal_memory; });
 }
 
 void table_mirror::apply_relay_page(time_point now, const relay_page& received)
--- a/pistachiospan/mirror/mirror.hpp
+++ b/pistachiospan/mirror/mirror.hpp
@@ -9,12 +9,16 @@
 //     servers.tick(now);
 //
 // The copy never goes back: a page that is older than the copy changes nothing, whether
-// it comes from the store or from another VM.
+// it comes from the store or from another VM. If the store comes back from an older copy
+// of its own (a later generation of its versions), what is known here stays until it is
+// written again: rows whose content is older are passed over, and rows that are missing
+// are kept for a while.
 
 #ifndef PISTACHIOSPAN_MIRROR_MIRROR_HPP
 #define PISTACHIOSPAN_MIRROR_MIRROR_HPP
 
 #include "pistachiospan/base/base.hpp"
+#include "pistachiospan/store_version/store_version.hpp"
 
 #include <deque>
 #include <map>
@@ -27,7 +31,7 @@
 {
     std::string key;
     std::string value;
-    std::uint64_t version = 0;
+    std::uint64_t version = 0; // see store_version
     bool deleted = false;
 };
 
@@ -36,9 +40,6 @@
 {
     std::vector<row> rows;
     std::uint64_t position = 0;
-    // Rises each time the store comes back from an older copy; 0 if the store does not
-    // say.
-    std::uint64_t generation = 0;
 };
 
 // Page that one VM sends to another: all rows (`is_snapshot`) or the changes after a
@@ -66,6 +67,15 @@
     duration removal_grace{0};
     // Reads that fail for at least this long count as an outage.
     duration outage_threshold = std::chrono::seconds(1);
+    // The same for rows that are missing when the store has come back from an older copy:
+    // whoever wrote them writes them again.
+    duration restore_grace = std::chrono::seconds(5);
+    // Time for which removed rows are remembered, to recognise those that an older copy
+    // of the store brings back.
+    duration removal_memory = std::chrono::minutes(2);
+    // A row that was removed and is back in an older copy takes effect if it is not
+    // removed again within this time: an upstream's entry lapses after three heartbeats.
+    duration revival_delay = std::chrono::seconds(6);
     std::uint64_t instance = 0;      // differs between copies
     std::size_t history_size = 1024; // changes kept for other VMs
 };
@@ -79,14 +89,26 @@
     std::uint64_t known = 0;   // of the copy
 };
 
+// How old the content of a row is, compared with what is known of the same row.
+enum class content_age
+{
+    unknown,
+    older,
+    same,
+    newer,
+};
+
 struct mirror_hooks
 {
     std::function<void(const row&)> changed;
     std::function<void(const std::string& key)> removed;
+    // Tells the age by the contents, where the versions of two generations cannot.
+    // Without it, ages are unknown.
+    std::function<content_age(const row& received, const row& known)> age_of = nullptr;
     // For logs. Rows that are as they were are not reported.
     std::function<void(const passed_over&)> passed_over = nullptr;
-    // The store came back from an older copy: the generation and the one before.
-    std::function<void(std::uint64_t next, std::uint64_t before)> restored = nullptr;
+    // The store has come back from an older copy.
+    std::function<void()> restored = nullptr;
 };
 
 enum class origin
@@ -116,6 +138,12 @@
     {
         return this->current_position != 0;
     }
+    // The store has come back from an older copy, as another VM's pages show: the next
+    // read of the store must be a snapshot.
+    bool needs_snapshot() const
+    {
+        return this->restore_unread;
+    }
     std::uint64_t position() const
     {
         return this->current_position;
@@ -137,14 +165,32 @@
     relay_page changes_since(std::uint64_t instance, std::uint64_t cursor) const;
 
 private:
+    struct removed_row
+    {
+        row last;
+        time_point at;
+    };
+
     void set(const row& update);
-    bool is_later(const page& received);
+    // False if the page is from before the copy's position.
+    bool is_later(const page& received) const;
+    // True if the page is the first one of a later generation.
+    bool is_restored(const page& received) const;
+    void finish_page(const page& received, origin from, bool restored);
+    content_age age_of(const row& received, const row& known) const;
+    // True if the content of the row is older than what is known of it.
+    bool is_outdated(const row& received) const;
+    // True if the row was removed, and may be in the store only because that is lost.
+    bool may_be_revived(const row& received, bool in_restored_page) const;
+    void hold_revival(time_point now, const row& received);
+    void apply(time_point now, const row& received, bool in_restored_page);
+    std::uint64_t known_version(const std::string& key) const;
     void report_passed_over(const passed_over& what) const;
     // Returns true if the read that has just succeeded is the first one after an outage.
     bool end_outage(time_point now);
-    void remove(const std::string& key, std::uint64_t version);
+    void remove(time_point now, const std::string& key, std::uint64_t version);
     void append_history(const row& change);
-    void hold_removal(time_point now, const std::string& key, std::uint64_t version);
+    void hold_removal(time_point due, const std::string& key, std::uint64_t version);
 
     mirror_options options;
     mirror_hooks hooks;
@@ -155,11 +201,19 @@
         std::uint64_t version = 0;
     };
     std::map<std::string, removal> held_removals; // removals that take effect later
+    std::map<std::string, removed_row> removed_rows;
+    struct revived_row
+    {
+        time_point due;
+        row received;
+    };
+    // Removed rows that are back, until they take effect.
+    std::map<std::string, revived_row> revived_rows;
     std::uint64_t current_position = 0;
-    std::uint64_t generation = 0;
     std::uint64_t last_change = 0;
     std::uint64_t changes = 0; // number of changes of this copy
     std::deque<row> history;   // the latest changes
+    bool restore_unread = false;
     bool read_failing = false;
     time_point failing_since;
 };
--- a/pistachiospan/mirror/mirror_test.cpp
+++ b/pistachiospan/mirror/mirror_test.cpp
@@ -4,6 +4,7 @@
 
 using namespace pistachiospan;
 using namespace std::chrono_literals;
+using store_version::make;
 
 namespace
 {
@@ -14,16 +15,30 @@
         : copy({.removal_grace = 2100ms, .instance = 7},
                {.changed = [this](const mirror::row& row)
                 { this->changes.push_back(row.key + "=" + row.value); },
-                .removed =
-                    [this](const std::string& key)
+                .removed = [this](const std::string& key)
+                { this->removed.push_back(key); },
+                .age_of = age_of,
+                .restored =
+                    [this]
                 {
-                    this->removed.push_back(key);
+                    ++this->restores;
                 }})
     {
     }
 
+    // The contents are numbers that rise.
+    static mirror::content_age age_of(const mirror::row& received,
+                                      const mirror::row& known)
+    {
+        if (received.value == known.value)
+            return mirror::content_age::same;
+        return received.value < known.value ? mirror::content_age::older
+                                            : mirror::content_age::newer;
+    }
+
     std::vector<std::string> changes;
     std::vector<std::string> removed;
+    int restores = 0;
     mirror::table_mirror copy;
 };
 
@@ -32,6 +47,13 @@
     return {.key = key, .value = "v" + std::to_string(version), .version = version};
 }
 
+// A row of this generation of the store.
+mirror::row in(std::uint64_t generation, const std::string& key, std::uint64_t number,
+               const std::string& value)
+{
+    return {.key = key, .value = value, .version = make(generation, number)};
+}
+
 mirror::row removed_row(const std::string& key, std::uint64_t version)
 {
     return {.key = key, .version = version, .deleted = true};
@@ -148,6 +170,105 @@
     BOOST_TEST(page.content.rows.front().deleted);
 }
 
+// Guards against rows that are passed over, and against a table that reverts, because the
+// store has come back from an older copy and gives out versions again.
+BOOST_AUTO_TEST_CASE(later_generation_replaces_rows_but_with_newer_content_only)
+{
+    recorded_mirror table;
+    table.copy.apply_snapshot(start, {.rows = {in(1, "a", 8, "5"), in(1, "b", 9, "2")},
+                                      .position = make(1, 9)});
+    table.changes.clear();
+    // The copy that the store has come back from.
+    table.copy.apply_snapshot(start, {.rows = {in(2, "a", 3, "4"), in(2, "b", 4, "3")},
+                                      .position = make(2, 4)});
+    BOOST_TEST(table.restores == 1);
+    BOOST_TEST(table.changes == std::vector<std::string>{"b=3"},
+               boost::test_tools::per_element());
+    // Written again, one version after the other, then changed.
+    for (const char* value : {"4", "5", "6"})
+        table.copy.apply_changes(
+            start, {.rows = {in(2, "a", 6, value)}, .position = make(2, 6)});
+    BOOST_TEST(table.changes == (std::vector<std::string>{"b=3", "a=5"}),
+               boost::test_tools::per_element());
+    table.copy.apply_changes(start,
+                             {.rows = {in(2, "a", 7, "6")}, .position = make(2, 7)});
+    BOOST_TEST(table.changes.back() == "a=6");
+}
+
+// Guards against the loss of rows that the restored store does not have yet, also if it
+// is read whole once more or another VM has lost them, and against rows that stay for
+// ever.
+BOOST_AUTO_TEST_CASE(rows_that_a_restored_store_lacks_are_kept_for_a_while)
+{
+    recorded_mirror table;
+    const std::vector<mirror::row> kept = {in(1, "a", 1, "1")};
+    table.copy.apply_snapshot(
+        start, {.rows = {kept.front(), in(1, "b", 8, "1"), in(1, "c", 9, "1")},
+                .position = make(1, 9)});
+    const mirror::page restored{.rows = kept, .position = make(2, 4)};
+    table.copy.apply_snapshot(start + 1s, restored);
+    table.copy.apply_snapshot(start + 2s, restored);
+    table.copy.apply_snapshot(start + 3s, restored, mirror::origin::peer);
+    table.copy.apply_changes(start + 4s,
+                             {.rows = {in(2, "c", 5, "1")}, .position = make(2, 5)});
+    table.copy.tick(start + 5s);
+    BOOST_TEST(table.removed.empty());
+    table.copy.tick(start + 7s);
+    BOOST_TEST(table.removed == std::vector<std::string>{"b"},
+               boost::test_tools::per_element());
+}
+
+// Guards against the return of rows that were removed before the restore, and against
+// rows that are never used again although they stay in the store.
+BOOST_AUTO_TEST_CASE(rows_that_a_restored_store_brings_back_wait)
+{
+    recorded_mirror table;
+    table.copy.apply_snapshot(start, {.rows = {in(1, "a", 1, "1"), in(1, "b", 2, "1"),
+                                               in(1, "c", 3, "1"), in(1, "d", 4, "1")},
+                                      .position = make(1, 4)});
+    for (const char* key : {"a", "b", "c", "d"})
+        table.copy.apply_changes(
+            start, {.rows = {removed_row(key, make(1, 9))}, .position = make(1, 9)});
+    table.changes.clear();
+    const mirror::page restored{.rows = {in(2, "a", 1, "1"), in(2, "b", 2, "1"),
+                                         in(2, "c", 3, "1"), in(2, "d", 4, "2")},
+                                .position = make(2, 5)};
+    table.copy.apply_snapshot(start + 1s, restored);
+    table.copy.apply_snapshot(start + 2s, restored);
+    // `d` has newer content than the row that was removed.
+    BOOST_TEST(table.changes == std::vector<std::string>{"d=2"},
+               boost::test_tools::per_element());
+    table.copy.apply_changes(start + 3s,
+                             {.rows = {removed_row("a", make(2, 6)), in(2, "b", 7, "2")},
+                              .position = make(2, 7)});
+    BOOST_TEST(table.changes.back() == "b=2");
+    table.copy.tick(start + 6s);
+    BOOST_TEST(table.changes.size() == 2U);
+    table.copy.tick(start + 8s);
+    BOOST_TEST(table.changes.back() == "c=1");
+    BOOST_TEST(table.changes.size() == 3U);
+}
+
+// Guards against a VM that has learned of the restore from another one and reads only the
+// changes of the store afterwards: it would never miss what is gone.
+BOOST_AUTO_TEST_CASE(restore_that_a_peer_has_seen_needs_a_snapshot_of_the_store)
+{
+    recorded_mirror table;
+    table.copy.apply_snapshot(start, {.rows = {in(1, "a", 1, "1"), in(1, "b", 8, "1")},
+                                      .position = make(1, 8)});
+    BOOST_TEST(!table.copy.needs_snapshot());
+    table.copy.apply_changes(start, {.position = make(2, 3)}, mirror::origin::peer);
+    BOOST_TEST(table.copy.needs_snapshot());
+    table.copy.apply_snapshot(start + 1s,
+                              {.rows = {in(2, "a", 1, "1")}, .position = make(2, 4)});
+    BOOST_TEST(!table.copy.needs_snapshot());
+    BOOST_TEST(table.restores == 1);
+    BOOST_TEST(table.removed.empty());
+    table.copy.tick(start + 6s);
+    BOOST_TEST(table.removed == std::vector<std::string>{"b"},
+               boost::test_tools::per_element());
+}
+
 // A large configuration changes several times while a VM on a slow link is behind. Guards
 // against pages that contain every intermediate version: they took longer than the read
 // timeout, so the read was restarted again and again.
