Let coordinators write their rows again after a restore

Cause: the rows that name the coordinators are the system's own, and a restore of the store brings back earlier ones or none. Nobody wrote them again. A coordinator that read an earlier holder in its row, once a minute, gave way to it, though that VM may have ended, and VMs that start turned to it first.

The fix: a VM that coordinates its data centre claims the row as soon as the tables show a new generation of the store, and does not give way to a holder that the row names then. The claim has the latest version, so of two coordinators that write one after the other the later one stays, as before.

--- a/pistachiospan/cell/cell.cpp
+++ b/pistachiospan/cell/cell.cpp
@@ -65,6 +65,7 @@
 {
     this->own_role = role::coordinator;
     this->unclaimed = false;
+    this->overrides_row = false;
     this->isolated = false;
     this->own_epoch = epoch;
     this->highest_epoch = std::max(this->highest_epoch, epoch);
@@ -365,7 +366,8 @@
     if (this->own_role == role::coordinator)
     {
         this->claim_at = now;
-        if (this->is_superseded_by(outcome.version, outcome.holder_address) &&
+        if (!this->overrides_row &&
+            this->is_superseded_by(outcome.version, outcome.holder_address) &&
             outcome.holder != this->options.self)
             this->yield_to(now, outcome.holder_address, outcome.version);
         return;
@@ -412,6 +414,15 @@
     this->claim_at = now;
 }
 
+void cell::note_store_restored(time_point now)
+{
+    if (this->own_role != role::coordinator)
+        return;
+    this->unclaimed = true;
+    this->overrides_row = true;
+    this->claim_at = now;
+}
+
 std::optional<digest> cell::take_redirect()
 {
     return std::exchange(this->redirect, std::nullopt);
--- a/pistachiospan/cell/cell.hpp
+++ b/pistachiospan/cell/cell.hpp
@@ -182,6 +182,9 @@
     // The store's row names this VM as the coordinator, by the address. A coordinator
     // that was replaced without notice claims the row again and learns which VM holds it.
     void observe_row(time_point now, const std::string& holder_address);
+    // The store has come back from an older copy. A coordinator writes its row again: the
+    // store may name an earlier holder, or none.
+    void note_store_restored(time_point now);
     // Returns, once, the final digest to send after another VM has taken over; it names
     // that VM.
     std::optional<digest> take_redirect();
@@ -247,6 +250,9 @@
     time_point claim_at;
     bool claim_pending = false;
     bool unclaimed = false; // coordinates without holding the row
+    // The row may be one that a restore of the store brought back: its holder does not
+    // take precedence.
+    bool overrides_row = false;
     bool isolated = false;
     bool heard_others = false; // VMs of the data centre, during this search
     bool store_failed = false; // during this search
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -109,6 +109,8 @@
     follower_hooks make_hooks(table which);
     // Adds what is logged about the copy.
     mirror::mirror_hooks with_logs(table which, mirror::mirror_hooks applied);
+    // The store has come back from an older copy, as reads of the table show.
+    void note_restored(table which);
     void finish_read(table which, const read_outcome& outcome);
     // False if reads of either table have failed for `follower_options::lost_after`.
     bool reaches_store(time_point now) const;
@@ -127,6 +129,7 @@
     followed_table operator_rows;
     followed_table upstreams;
     bool started = false;
+    std::uint64_t restored_generation = 0; // of the last restore
     time_point last_store_try;
     time_point behind_since;
     std::optional<time_point> version_behind_since;
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -49,15 +49,23 @@
     };
     applied.restored = [this, which]
     {
-        const std::uint64_t position = this->copy(which).position();
-        this->hooks.log("store_restored",
-                        {{"table", name_of(which)},
-                         {"position", store_version::number_of(position)},
-                         {"generation", store_version::generation_of(position)}});
+        this->note_restored(which);
     };
     return applied;
 }
 
+void store_view::note_restored(table which)
+{
+    const std::uint64_t position = this->copy(which).position();
+    const std::uint64_t generation = store_version::generation_of(position);
+    this->hooks.log("store_restored", {{"table", name_of(which)},
+                                       {"position", store_version::number_of(position)},
+                                       {"generation", generation}});
+    // The other table may have shown it already.
+    if (std::exchange(this->restored_generation, generation) != generation)
+        this->fleet.note_store_restored(monotonic_now());
+}
+
 store_view::store_view(event_base* base, store_view_options options,
                        const store_access& store, peer_link& peers,
                        fleet_node::node& fleet, store_view_hooks hooks)
--- a/pistachiospan/fleet_node/fleet_node.cpp
+++ b/pistachiospan/fleet_node/fleet_node.cpp
@@ -509,6 +509,12 @@
                                  incoming.configuration_version);
 }
 
+void node::note_store_restored(time_point now)
+{
+    this->local_cell.note_store_restored(now);
+    this->check(now);
+}
+
 void node::note_disconnected(time_point now, const std::string& address)
 {
     if (address != this->local_cell.coordinator_address())
--- a/pistachiospan/fleet_node/fleet_node.hpp
+++ b/pistachiospan/fleet_node/fleet_node.hpp
@@ -114,6 +114,8 @@
     // Sends a report, and a coordinator also its digest, without waiting for the next
     // tick.
     void send_updates(time_point now);
+    // The store has come back from an older copy and may not have what this VM wrote.
+    void note_store_restored(time_point now);
     // The connection to the VM with this peer address has ended.
     void note_disconnected(time_point now, const std::string& address);
     // Time until check() should be called ahead of its regular interval.
--- a/pistachiospan/world/succession_test.cpp
+++ b/pistachiospan/world/succession_test.cpp
@@ -166,3 +166,39 @@
     for (std::uint64_t seed = 1; seed <= 3; ++seed)
         check_partition(seed, 24, 400ms);
 }
+
+// Guards against data centres that lose their coordinators after the store has come back
+// from an older copy: its rows name earlier holders, which have ended, or none.
+BOOST_AUTO_TEST_CASE(coordinators_stay_when_the_store_is_restored)
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U})
+    {
+        pistachiospan::world::world all({.seed = seed, .vms = 24});
+        all.run_for(5s);
+        all.keep_store_copy();
+        // Other VMs take over; these rows are lost.
+        for (const char* data_centre : {"dc-0", "dc-1", "dc-2"})
+            all.kill(all.coordinator_of(data_centre));
+        all.run_for(5s);
+        all.restore_store();
+        std::map<std::string, std::size_t> coordinators;
+        const auto find = [&all](std::size_t index)
+        {
+            return all.coordinator_of("dc-" + std::to_string(index));
+        };
+        for (std::size_t index = 0; index < 6; ++index)
+            coordinators["dc-" + std::to_string(index)] = find(index);
+        std::size_t without = 0;
+        std::size_t changes = 0;
+        // Longer than the interval at which the coordinators' rows are read.
+        for (const time_point end = all.now() + 70s; all.now() < end; all.run_for(50ms))
+            for (std::size_t index = 0; index < 6; ++index)
+            {
+                const std::size_t present = find(index);
+                without += present == all.vm_count() ? 1 : 0;
+                changes += present != coordinators["dc-" + std::to_string(index)] ? 1 : 0;
+            }
+        BOOST_TEST(without == 0U, "seed " << seed);
+        BOOST_TEST(changes == 0U, "seed " << seed);
+    }
+}
--- a/pistachiospan/world/world.cpp
+++ b/pistachiospan/world/world.cpp
@@ -1,5 +1,7 @@
 #include "pistachiospan/world/world.hpp"
 
+#include "pistachiospan/store_version/store_version.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -394,14 +396,36 @@
 
 result<cell::claim_outcome> world::write_claim(const cell::claim& due)
 {
-    stored_claim& row = this->claims[due.data_centre];
-    if (row.version != due.expected_version)
+    stored_claim& row = this->stored.claims[due.data_centre];
+    const auto version_of_row = [this, &row]
+    {
+        return row.version == 0
+                   ? 0
+                   : store_version::make(this->store_generation, row.version);
+    };
+    if (row.version != store_version::number_of(due.expected_version))
         return cell::claim_outcome{.answered = true,
-                                   .version = row.version,
+                                   .version = version_of_row(),
                                    .holder = row.holder.vm,
                                    .holder_address = row.holder.peer_address};
-    row = {.holder = due, .version = ++this->store_version};
-    return cell::claim_outcome{.answered = true, .granted = true, .version = row.version};
+    row = {.holder = due, .version = ++this->stored.version};
+    return cell::claim_outcome{
+        .answered = true, .granted = true, .version = version_of_row()};
+}
+
+void world::keep_store_copy()
+{
+    this->kept = this->stored;
+}
+
+void world::restore_store()
+{
+    this->stored = this->kept;
+    ++this->store_generation;
+    for (std::size_t at = 0; at < this->vms.size(); ++at)
+        this->on_vm(at, registry_delay,
+                    [this, at]
+                    { this->vms[at].process->fleet().note_store_restored(this->now()); });
 }
 
 bool world::is_bound(std::size_t vm, std::size_t upstream) const
@@ -427,7 +451,7 @@
     if (!answered)
         return failure(errc::unavailable, "the store does not answer");
     std::map<std::string, std::string> all;
-    for (const auto& [data_centre, row] : this->claims)
+    for (const auto& [data_centre, row] : this->stored.claims)
         all[data_centre] = row.holder.peer_address;
     return all;
 }
--- a/pistachiospan/world/world.hpp
+++ b/pistachiospan/world/world.hpp
@@ -145,6 +145,11 @@
     {
         this->store = next;
     }
+    // Keeps a copy of the rows that VMs have written to the store.
+    void keep_store_copy();
+    // The store comes back from the kept copy, in a new generation; what was written
+    // since is lost.
+    void restore_store();
     void set_datagram_loss(double fraction)
     {
         this->options.datagram_loss = fraction;
@@ -228,8 +233,16 @@
     std::map<std::string, std::size_t> vms_by_address;
     std::vector<std::unique_ptr<upstream>> servers;
     std::map<std::string, std::size_t> servers_by_id;
-    std::map<std::string, stored_claim> claims; // by data centre
-    std::uint64_t store_version = 0;
+    // What the VMs have written to the store.
+    struct store_contents
+    {
+        std::map<std::string, stored_claim> claims; // by data centre
+        std::uint64_t version = 0;
+    };
+
+    store_contents stored;
+    store_contents kept;
+    std::uint64_t store_generation = 1;
     std::map<gateway::call_id, call> calls;
     gateway::call_id last_call = 0;
     gateway::exchange_id last_exchange = 0;
