Log which requests ended with an upstream

The logs could not tell whether an attempt ended with its upstream or only with its connection, nor which requests are the same. Now a VM whose request loses its connection tries a new one: a refused connection, while another upstream accepts or answers, shows that the upstream has ended. No decision depends on it yet.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -56,6 +56,9 @@
 constexpr duration max_idle_repeatable = std::chrono::seconds(4);
 constexpr duration max_idle_non_repeatable = std::chrono::milliseconds(2500);
 
+// Time for an upstream to accept a connection that only shows whether it lives.
+constexpr duration connection_check_timeout = std::chrono::milliseconds(400);
+
 // One in this many routine answers is logged.
 constexpr std::uint64_t answer_sample_interval = 32;
 
@@ -65,6 +68,20 @@
     return static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
 }
 
+quarantine::connection_check check_of(http1::connect_outcome outcome)
+{
+    switch (outcome)
+    {
+    case http1::connect_outcome::accepted:
+        return quarantine::connection_check::accepted;
+    case http1::connect_outcome::refused:
+        return quarantine::connection_check::refused;
+    case http1::connect_outcome::unclear:
+        break;
+    }
+    return quarantine::connection_check::unclear;
+}
+
 double to_milliseconds(duration span)
 {
     return static_cast<double>(span.count()) / 1000;
@@ -96,6 +113,10 @@
     void handle_request(http1::exchange_id id, http1::request&& incoming);
     gateway::call_id send(const gateway::attempt& attempt);
     void refuse(http1::exchange_id id, const gateway::refusal_answer& answer);
+    quarantine::fingerprint identify(http1::exchange_id id,
+                                     const std::string& account) const;
+    void check_connection(const upstreams::upstream_start& upstream,
+                          const std::string& address);
     void record(const gateway::record& decision);
     fields fields_of(const gateway::record& decision) const;
     void log_change(const steering::upstream_event& event);
@@ -246,6 +267,11 @@
             { return this->send(attempt); },
             .cancel_attempt = [this](gateway::call_id call)
             { this->upstream_client.cancel(call); },
+            .identify = [this](gateway::exchange_id id, const std::string& account)
+            { return this->identify(id, account); },
+            .check_connection = [this](const upstreams::upstream_start& upstream,
+                                       const std::string& address)
+            { this->check_connection(upstream, address); },
             .deliver =
                 [this](gateway::exchange_id id, const std::any& answer)
             {
@@ -355,6 +381,28 @@
     this->callers.respond(id, this->codec.encode_refusal(answer));
 }
 
+quarantine::fingerprint
+edge_daemon::implementation::identify(http1::exchange_id id,
+                                      const std::string& account) const
+{
+    const http1::request& incoming = this->exchanges.at(id);
+    return quarantine::fingerprint_of({account, incoming.method,
+                                       http1::header_value(incoming.headers, "Host"),
+                                       incoming.target, incoming.body});
+}
+
+void edge_daemon::implementation::check_connection(
+    const upstreams::upstream_start& upstream, const std::string& address)
+{
+    this->upstream_client.check_connect(address, connection_check_timeout,
+                                        [this, upstream](http1::connect_outcome outcome)
+                                        {
+                                            this->core.requests().finish_connection_check(
+                                                monotonic_now(), upstream,
+                                                check_of(outcome));
+                                        });
+}
+
 void edge_daemon::implementation::record(const gateway::record& decision)
 {
     this->metrics.count(decision);
@@ -389,7 +437,8 @@
             {"load", decision.load},
             {"store_position",
              store_version::number_of(this->tables.copy(table::upstreams).position())},
-            {"detail", decision.detail}};
+            {"detail", decision.detail},
+            {"fingerprint", decision.fingerprint}};
 }
 
 void edge_daemon::implementation::log_change(const steering::upstream_event& event)
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -354,6 +354,7 @@
     this->upstreams.end(now, pending.chosen, outcome_of(result), now - pending.sent_at,
                         result.load);
     this->apply_upstream_state(now, pending, result);
+    this->note_connection(now, exchange, pending, result);
     if (pending.caller_gone)
     {
         this->requests.erase(found);
@@ -536,7 +537,9 @@
          .load = pending.chosen.load,
          .objective =
              pending.route == nullptr ? duration(0) : pending.route->latency_objective,
-         .detail = std::string(detail)});
+         .detail = std::string(detail),
+         .fingerprint =
+             pending.fingerprint ? quarantine::to_text(*pending.fingerprint) : ""});
 }
 
 std::map<std::string, retry_counts> gateway::retry_totals(time_point now) const
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -21,6 +21,7 @@
 
 #include "pistachiospan/allowance/allowance.hpp"
 #include "pistachiospan/configuration/configuration.hpp"
+#include "pistachiospan/quarantine/quarantine.hpp"
 #include "pistachiospan/retry/retry.hpp"
 #include "pistachiospan/upstreams/upstreams.hpp"
 
@@ -75,6 +76,8 @@
     int status = 0;     // answered
     std::any answer;    // answered: passed unchanged to gateway_hooks::deliver
     std::string detail; // cause of a failure, for logs
+    // broken: the upstream's side closed or reset the connection.
+    bool connection_lost = false;
     std::optional<upstreams::load_report> load;
     std::optional<duration> cold_left;
     bool leaving = false;          // the upstream reports that it stops soon
@@ -141,6 +144,8 @@
     double load = 0;      // requests at the upstream
     duration objective{0};
     std::string detail;
+    // The request's fingerprint, if an upstream's side closed its connection.
+    std::string fingerprint;
 };
 
 struct gateway_hooks
@@ -159,6 +164,16 @@
     std::function<void(exchange_id, const refusal_answer&)> refuse;
     std::function<void(const record&)> report = nullptr;
     std::function<void(const upstream_notice&)> notice = nullptr;
+    // The fingerprint of the exchange's request, for this caller. Without this hook and
+    // the next one, ends of upstreams are not noticed.
+    std::function<quarantine::fingerprint(exchange_id, const std::string& account)>
+        identify = nullptr;
+    // Tries a new connection to an upstream. finish_connection_check() must follow.
+    std::function<void(const upstreams::upstream_start&, const std::string& address)>
+        check_connection = nullptr;
+    // An upstream has ended with requests of this VM.
+    std::function<void(time_point, const quarantine::upstream_end&)> upstream_ended =
+        nullptr;
 };
 
 struct gateway_options
@@ -238,6 +253,10 @@
     // has ended or waits for another call.
     void finish_attempt(time_point now, exchange_id exchange, call_id call,
                         attempt_result result);
+    // The outcome of gateway_hooks::check_connection.
+    void finish_connection_check(time_point now,
+                                 const upstreams::upstream_start& upstream,
+                                 quarantine::connection_check outcome);
     // The caller needs no answer any more.
     void caller_left(time_point now, exchange_id exchange);
 
@@ -275,6 +294,7 @@
         bool holds_token = false;  // of the account
         bool holds_retry = false;  // a retry is charged and not sent yet
         bool was_selected = false; // an upstream for it, before
+        std::optional<quarantine::fingerprint> fingerprint; // once it was needed
         // Decisions about tokens of upstreams' limits after which it was not sent.
         std::uint32_t unused_admissions = 0;
     };
@@ -285,6 +305,11 @@
     void send(time_point now, exchange_id exchange, pending_request& pending);
     void apply_upstream_state(time_point now, const pending_request& pending,
                               const attempt_result& result);
+    const quarantine::fingerprint& fingerprint_of(exchange_id exchange,
+                                                  pending_request& pending) const;
+    void note_connection(time_point now, exchange_id exchange, pending_request& pending,
+                         const attempt_result& result);
+    void report_ends(time_point now, const std::vector<quarantine::upstream_end>& ended);
     bool retry(time_point now, exchange_id exchange, pending_request& pending,
                bool not_run);
     void deliver(time_point now, exchange_id exchange, pending_request& pending,
@@ -310,6 +335,7 @@
     std::map<std::string, retry::policy> retries;
     std::map<std::string, retry_counts> retry_total; // by service
     std::optional<time_point> stops_at;              // end of this process
+    quarantine::end_detector ends;
     counts total;
 };
 
--- a/pistachiospan/gateway/gateway_test.cpp
+++ b/pistachiospan/gateway/gateway_test.cpp
@@ -50,10 +50,19 @@
                { this->refused.push_back(answer); },
                .report = [this](const gateway::record& event)
                { this->records.push_back(event); },
-               .notice =
-                   [this](const gateway::upstream_notice& notice)
+               .notice = [this](const gateway::upstream_notice& notice)
+               { this->notices.push_back(notice); },
+               .identify =
+                   [this](gateway::exchange_id id, const std::string& account) {
+                       return quarantine::fingerprint_of({account, this->paths.at(id)});
+                   },
+               .check_connection =
+                   [this](const upstreams::upstream_start& upstream, const std::string&)
+               { this->checked.push_back(upstream.id); },
+               .upstream_ended =
+                   [this](time_point, const quarantine::upstream_end& ended)
                {
-                   this->notices.push_back(notice);
+                   this->ended.push_back(ended);
                }})
     {
         for (const char* id : {"u1", "u2"})
@@ -93,6 +102,7 @@
     void submit(gateway::exchange_id id, const std::string& path,
                 const std::string& key = "key")
     {
+        this->paths[id] = path;
         this->requests.submit(this->now, id,
                               {.request_id = std::to_string(id),
                                .host = "a.example",
@@ -124,6 +134,9 @@
     std::vector<gateway::exchange_id> waiting_for_token; // requests without an answer
     std::vector<std::string> asked_upstreams;            // for tokens of their limits
     std::vector<std::string> returned_upstreams;         // their tokens
+    std::map<gateway::exchange_id, std::string> paths;
+    std::vector<std::string> checked; // upstreams, by a new connection
+    std::vector<quarantine::upstream_end> ended;
     bool delay_tokens = false;
     upstreams::upstream_set known;
     allowance::ledger allowances;
@@ -565,3 +578,33 @@
     BOOST_TEST(!test.refused.front().may_have_run);
     BOOST_TEST((test.refused.front().retry_after == 700ms));
 }
+
+// Guards against an end that is taken for a broken connection when there is no other
+// traffic, and against a planned end that is taken for a crash.
+BOOST_AUTO_TEST_CASE(end_of_an_upstream_is_noticed_by_connections)
+{
+    fixture test;
+    test.submit(1, "/order/1");
+    const std::string first = test.sent.back().upstream;
+    test.requests.finish_attempt(
+        start + 10ms, 1, test.sent.size(),
+        {.outcome = attempt_outcome::broken, .connection_lost = true});
+    BOOST_TEST_REQUIRE(test.checked.size() == 1U);
+    BOOST_TEST(test.checked.back() == first);
+    test.requests.finish_connection_check(start + 11ms, {first, 0},
+                                          quarantine::connection_check::refused);
+    BOOST_TEST_REQUIRE(test.checked.size() == 2U);
+    BOOST_TEST(test.checked.back() != first);
+    BOOST_TEST(test.ended.empty());
+    test.requests.finish_connection_check(start + 12ms, {test.checked.back(), 0},
+                                          quarantine::connection_check::accepted);
+    BOOST_TEST_REQUIRE(test.ended.size() == 1U);
+    BOOST_TEST(test.ended.front().upstream.id == first);
+    BOOST_TEST(test.ended.front().requests.size() == 1U);
+    test.submit(2, "/order/2");
+    test.known.note_leaving(start, {test.sent.back().upstream, 0});
+    test.requests.finish_attempt(
+        start + 20ms, 2, test.sent.size(),
+        {.outcome = attempt_outcome::broken, .connection_lost = true});
+    BOOST_TEST(test.checked.size() == 2U);
+}
--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -1,5 +1,6 @@
 #include "pistachiospan/event_loop/event_loop.hpp"
 #include "pistachiospan/http1/http1.hpp"
+#include "pistachiospan/http1/internal/connect_check.hpp"
 #include "pistachiospan/http1/internal/parser.hpp"
 #include "pistachiospan/http1/internal/socket.hpp"
 
@@ -72,6 +73,12 @@
                  const call_options& timeouts, call_handler done);
     void cancel(call_id call);
 
+    void check_connect(const std::string& address, duration timeout,
+                       std::function<void(connect_outcome)> done)
+    {
+        this->checks.start(address, timeout, std::move(done));
+    }
+
     std::uint64_t opened_count = 0;
 
 private:
@@ -131,6 +138,7 @@
 
     event_base* base;
     client_options options;
+    internal::connect_checks checks{this->base};
     std::uint64_t last_id = 0;
     std::size_t total_buffered_bytes = 0; // bytes of all bodies
     std::unordered_map<std::uint64_t, std::unique_ptr<connection>> open_connections;
@@ -300,6 +308,7 @@
     const bool was_reset = (what & BEV_EVENT_ERROR) != 0;
     this->finish(conn,
                  {.end = call_end::broken,
+                  .closed_by_server = true,
                   .detail = was_reset ? "connection reset" : "connection closed"},
                  false);
 }
@@ -532,6 +541,12 @@
     this->self->cancel(call);
 }
 
+void client::check_connect(const std::string& address, duration timeout,
+                           std::function<void(connect_outcome)> done)
+{
+    this->self->check_connect(address, timeout, std::move(done));
+}
+
 std::uint64_t client::connections_opened() const
 {
     return this->self->opened_count;
--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -140,6 +140,8 @@
 {
     call_end end = call_end::broken;
     response answer;
+    // broken: the server closed or reset the connection.
+    bool closed_by_server = false;
     std::string detail; // the cause of a failure, for logs
 };
 
@@ -166,6 +168,14 @@
     std::size_t max_idle_connections = 16; // to one address
 };
 
+// What a server did with a new connection.
+enum class connect_outcome
+{
+    accepted,
+    refused, // nothing listens at the address
+    unclear, // no answer in time, or another failure
+};
+
 class client
 {
 public:
@@ -182,6 +192,11 @@
     // Ends a call and closes its connection. The handler is not called.
     void cancel(call_id call);
 
+    // Opens a connection and closes it again. Calls `done` once, from the loop and never
+    // within check_connect(), unless the client is destroyed.
+    void check_connect(const std::string& address, duration timeout,
+                       std::function<void(connect_outcome)> done);
+
     std::uint64_t connections_opened() const;
 
 private:
--- a/pistachiospan/steering/steering.cpp
+++ b/pistachiospan/steering/steering.cpp
@@ -52,10 +52,14 @@
             .deliver = this->hooks.deliver,
             .refuse = this->hooks.refuse,
             .report = this->hooks.report,
-            .notice =
-                [this](const gateway::upstream_notice& notice)
+            .notice = [this](const gateway::upstream_notice& notice)
+            { this->note_upstream(notice); },
+            .identify = this->hooks.identify,
+            .check_connection = this->hooks.check_connection,
+            .upstream_ended =
+                [this](time_point now, const quarantine::upstream_end& ended)
             {
-                this->note_upstream(notice);
+                this->note_end(now, ended);
             }};
 }
 
@@ -195,6 +199,15 @@
     this->local_node.send_updates(this->hooks.now());
 }
 
+void core::note_end(time_point, const quarantine::upstream_end& ended)
+{
+    std::vector<std::string> requests;
+    for (const quarantine::lost_request& each : ended.requests)
+        requests.push_back(quarantine::to_text(each.request));
+    this->hooks.log("upstream_ended",
+                    {{"upstream", ended.upstream.id}, {"requests", requests}});
+}
+
 bool core::learn_leaving(time_point now,
                          std::span<const upstreams::leaving_notice> received)
 {
--- a/pistachiospan/steering/steering.hpp
+++ b/pistachiospan/steering/steering.hpp
@@ -53,6 +53,11 @@
     // To callers and upstreams; see gateway::gateway_hooks.
     std::function<gateway::call_id(const gateway::attempt&)> send_attempt;
     std::function<void(gateway::call_id)> cancel_attempt;
+    std::function<quarantine::fingerprint(gateway::exchange_id,
+                                          const std::string& account)>
+        identify = nullptr;
+    std::function<void(const upstreams::upstream_start&, const std::string& address)>
+        check_connection = nullptr;
     std::function<void(gateway::exchange_id, std::any answer)> deliver;
     std::function<void(gateway::exchange_id, const gateway::refusal_answer&)> refuse;
 
@@ -111,6 +116,7 @@
     gateway::gateway_hooks make_gateway_hooks();
     fleet_node::node_hooks make_fleet_hooks();
     void note_upstream(const gateway::upstream_notice& notice);
+    void note_end(time_point now, const quarantine::upstream_end& ended);
     // Apply what another VM has told. Return true if anything of it is new.
     bool learn_leaving(time_point now,
                        std::span<const upstreams::leaving_notice> received);
--- a/pistachiospan/upstreams/notices.cpp
+++ b/pistachiospan/upstreams/notices.cpp
@@ -30,6 +30,29 @@
     return is_new;
 }
 
+bool upstream_set::is_leaving(const upstream_start& start) const
+{
+    if (this->leaving.contains(start))
+        return true;
+    const upstream* target = this->find(start.id);
+    return target != nullptr && target->registration.started == start.started &&
+           target->is_leaving();
+}
+
+std::optional<upstream_set::endpoint>
+upstream_set::last_answering(const upstream_start& except) const
+{
+    const upstream* last = nullptr;
+    for (const auto& [id, each] : this->upstreams_by_id)
+        if (id != except.id && !each->is_leaving() &&
+            (last == nullptr || each->last_answer > last->last_answer))
+            last = each.get();
+    if (last == nullptr)
+        return std::nullopt;
+    return endpoint{.upstream = {last->registration.id, last->registration.started},
+                    .address = last->registration.address};
+}
+
 std::vector<upstream_start> upstream_set::leaving_since(time_point now,
                                                         duration age) const
 {
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -284,6 +284,17 @@
     // again. Returns true if this was not known.
     bool note_leaving(time_point now, const upstream_start& start,
                       duration age = duration(0));
+    // Whether this start of the upstream has reported that it leaves, or the registry
+    // lists it as draining.
+    bool is_leaving(const upstream_start& start) const;
+    // A registered upstream other than this one, the one that answered last: a connection
+    // to it shows whether this VM reaches upstreams at all.
+    struct endpoint
+    {
+        upstream_start upstream;
+        std::string address;
+    };
+    std::optional<endpoint> last_answering(const upstream_start& except) const;
     // Upstreams known as leaving for less than `age`, to be reported to the other VMs.
     std::vector<upstream_start> leaving_since(time_point now, duration age) const;
     // Upstreams that are known as leaving although the registry lists them as ready, for
