--- a/pistachiospan/world/upstream.cpp
+++ b/pistachiospan/world/upstream.cpp
@@ -28,8 +28,14 @@
 
 void upstream::receive(const incoming_request& request, answer_handler answer)
 {
+    if (this->down)
+    {
+        answer({.outcome = gateway::attempt_outcome::broken, .connection_lost = true});
+        return;
+    }
     const bool is_refused = this->refuses_at_random();
-    const bool has_slot = !is_refused && this->running < this->options.registration.slots;
+    const bool has_slot =
+        !is_refused && this->running.size() < this->options.registration.slots;
     const bool has_room =
         has_slot || (!is_refused && this->queue.size() < this->options.max_queued);
     this->received.push_back({.at = this->events.now(),
@@ -37,31 +43,47 @@
                               .vm = request.vm,
                               .sent_at = request.sent_at,
                               .account = request.account,
+                              .object = request.object,
                               .ran = has_room,
-                              .is_excused = request.is_excused});
+                              .is_excused = request.is_excused,
+                              .in_touch = request.in_touch});
     if (has_slot)
-        this->start({request.object, std::move(answer)});
+        this->start({request.account, request.object, std::move(answer)});
     else if (has_room)
-        this->queue.push_back({request.object, std::move(answer)});
+        this->queue.push_back({request.account, request.object, std::move(answer)});
     else if (!this->silent)
         answer(this->result_of(gateway::attempt_outcome::not_run));
 }
 
 void upstream::start(waiting_request request)
 {
-    ++this->running;
+    const std::uint64_t run = ++this->last_run;
+    this->running[run] = std::move(request.answer);
+    const request_kind kind(request.account, request.object);
+    if (this->crashing.contains(kind))
+    {
+        this->events.after(this->options.time_to_crash,
+                           [this, run, kind]
+                           {
+                               if (!this->running.contains(run))
+                                   return;
+                               this->crashes.push_back({this->events.now(), kind});
+                               this->crash();
+                           });
+        return;
+    }
     this->events.after(this->work_on(request.object),
-                       [this, answer = std::move(request.answer),
-                        of = this->options.registration.started]
+                       [this, run]
                        {
-                           if (of == this->options.registration.started)
-                               this->finish(answer);
+                           if (this->running.contains(run))
+                               this->finish(run);
                        });
 }
 
-void upstream::finish(const answer_handler& answer)
+void upstream::finish(std::uint64_t run)
 {
-    --this->running;
+    const answer_handler answer = std::move(this->running.at(run));
+    this->running.erase(run);
     if (!this->queue.empty())
     {
         waiting_request next = std::move(this->queue.front());
@@ -93,7 +115,7 @@
         .outcome = outcome,
         .status = answered ? 200 : 503,
         .load = upstreams::load_report{
-            .running = static_cast<std::uint32_t>(this->running),
+            .running = static_cast<std::uint32_t>(this->running.size()),
             .waiting = static_cast<std::uint32_t>(this->queue.size()),
             .slots = this->options.registration.slots}};
     result.leaving = this->leaving;
@@ -113,10 +135,46 @@
         this->named.push_back({this->events.now(), rate});
 }
 
+void upstream::crash()
+{
+    this->down = true;
+    std::vector<answer_handler> lost;
+    for (auto& [run, answer] : this->running)
+        lost.push_back(std::move(answer));
+    for (waiting_request& each : this->queue)
+        lost.push_back(std::move(each.answer));
+    this->running.clear();
+    this->queue.clear();
+    for (const answer_handler& answer : lost)
+        answer({.outcome = gateway::attempt_outcome::broken, .connection_lost = true});
+    if (this->options.on_crash)
+        this->options.on_crash();
+}
+
+void upstream::set_crashing(const std::string& account, const std::string& object,
+                            bool crashes)
+{
+    if (crashes)
+        this->crashing.emplace(account, object);
+    else
+        this->crashing.erase({account, object});
+}
+
+std::vector<time_point> upstream::crashes_by(const std::string& account,
+                                             const std::string& object) const
+{
+    std::vector<time_point> times;
+    for (const crash_record& each : this->crashes)
+        if (each.cause == request_kind(account, object))
+            times.push_back(each.at);
+    return times;
+}
+
 void upstream::restart()
 {
     ++this->options.registration.started;
-    this->running = 0;
+    this->down = false;
+    this->running.clear();
     this->queue.clear();
     this->known_objects.clear();
     this->refused_fraction = 0;
--- a/pistachiospan/world/upstream.hpp
+++ b/pistachiospan/world/upstream.hpp
@@ -9,6 +9,8 @@
 
 #include <deque>
 #include <list>
+#include <map>
+#include <set>
 #include <vector>
 
 namespace pistachiospan::world
@@ -21,6 +23,9 @@
     std::size_t max_known_objects = 64;
     duration known_time = std::chrono::milliseconds(80); // work on a known object
     duration unknown_time = std::chrono::milliseconds(240);
+    // From the start of a request that crashes it.
+    duration time_to_crash = std::chrono::milliseconds(60);
+    std::function<void()> on_crash = nullptr;
 };
 
 // A request as an upstream receives it.
@@ -32,6 +37,7 @@
     std::string object;
     std::string account; // empty: an open request
     bool is_excused = false;
+    bool in_touch = true;
 };
 
 // One request that reached an upstream.
@@ -42,8 +48,10 @@
     std::size_t vm = 0;        // that sent it
     time_point sent_at;
     std::string account;
+    std::string object;
     bool ran = false;        // it was not refused
     bool is_excused = false; // the rule on limits does not count it
+    bool in_touch = true;    // nothing has harmed the VM lately
 };
 
 // A request limit that the upstream named in its answers from this time on; none: it
@@ -85,6 +93,20 @@
     {
         this->silent = next;
     }
+    // Ends: the connections of all its requests close, and it refuses new ones until it
+    // starts again.
+    void crash();
+    bool is_down() const
+    {
+        return this->down;
+    }
+    // Requests of this account about this object crash the upstream from now on, or do
+    // not any more.
+    void set_crashing(const std::string& account, const std::string& object,
+                      bool crashes);
+    // When such requests have crashed it.
+    std::vector<time_point> crashes_by(const std::string& account,
+                                       const std::string& object) const;
     // Ends all requests without an answer, and forgets its objects and limits.
     void restart();
 
@@ -106,13 +128,20 @@
 private:
     struct waiting_request
     {
+        std::string account;
         std::string object;
         answer_handler answer;
     };
+    using request_kind = std::pair<std::string, std::string>; // account and object
+    struct crash_record
+    {
+        time_point at;
+        request_kind cause;
+    };
 
     bool refuses_at_random();
     void start(waiting_request request);
-    void finish(const answer_handler& answer);
+    void finish(std::uint64_t run);
     duration work_on(const std::string& object);
     gateway::attempt_result result_of(gateway::attempt_outcome outcome);
     void record_limit(std::optional<double> rate);
@@ -120,7 +149,8 @@
     scheduler& events;
     random_engine& random;
     upstream_options options;
-    std::size_t running = 0;
+    std::map<std::uint64_t, answer_handler> running; // by number of the run
+    std::uint64_t last_run = 0;
     std::deque<waiting_request> queue;
     std::list<std::string> known_objects; // the most recent one last
     std::deque<arrival> received;
@@ -129,6 +159,9 @@
     double refused_fraction = 0;
     bool leaving = false;
     bool silent = false;
+    bool down = false;
+    std::set<request_kind> crashing;
+    std::vector<crash_record> crashes;
 };
 
 } // namespace pistachiospan::world
--- a/pistachiospan/world/world.cpp
+++ b/pistachiospan/world/world.cpp
@@ -34,6 +34,9 @@
 // VMs start within this time of each other.
 constexpr duration start_spread = 300ms;
 
+// From a crash of an upstream until it starts again.
+constexpr duration crash_time = 2s;
+
 constexpr const char* service = "reads";
 constexpr const char* host = "a.example";
 constexpr const char* prefix = "/read/";
@@ -107,7 +110,13 @@
                                         .slots = this->options.slots,
                                         .started = 1};
     this->servers.push_back(std::make_unique<upstream>(
-        this->events, this->random, upstream_options{.registration = registration}));
+        this->events, this->random,
+        upstream_options{.registration = registration,
+                         .on_crash = [this, index]
+                         {
+                             this->events.after(crash_time, [this, index]
+                                                { this->restart_upstream(index); });
+                         }}));
     this->servers_by_id[id] = index;
 }
 
@@ -219,6 +228,14 @@
         .send_attempt = [this, at](const gateway::attempt& attempt)
         { return this->send_attempt(at, attempt); },
         .cancel_attempt = [this](gateway::call_id id) { this->calls.erase(id); },
+        .identify =
+            [this](gateway::exchange_id id, const std::string& account)
+        {
+            return quarantine::fingerprint_of({account, this->requests.at(id).object});
+        },
+        .check_connection =
+            [this, at](const upstreams::upstream_start& upstream, const std::string&)
+        { this->check_connection(at, upstream); },
         .deliver =
             [this](gateway::exchange_id id, const std::any&)
         {
@@ -331,6 +348,15 @@
     this->calls[id] = {.exchange = attempt.exchange, .vm = at, .upstream = server};
     const duration way = this->latency(this->vms[at].data_centre,
                                        this->servers[server]->registration().data_centre);
+    if (this->servers[server]->is_down())
+    {
+        this->on_vm(at, 2 * way,
+                    [this, id] {
+                        this->finish_attempt(
+                            id, {.outcome = gateway::attempt_outcome::not_sent});
+                    });
+        return id;
+    }
     this->events.after(
         way,
         [this, server, id, way,
@@ -339,7 +365,8 @@
                                  .sent_at = this->now(),
                                  .object = this->requests.at(attempt.exchange).object,
                                  .account = attempt.account,
-                                 .is_excused = !this->is_bound(at, server)}]
+                                 .is_excused = !this->is_bound(at, server),
+                                 .in_touch = this->is_in_touch(at)}]
         {
             this->servers[server]->receive(
                 sent,
@@ -376,6 +403,29 @@
                                                         result);
 }
 
+void world::check_connection(std::size_t at, const upstreams::upstream_start& upstream)
+{
+    const pistachiospan::world::upstream& server =
+        *this->servers[this->servers_by_id.at(upstream.id)];
+    const duration way =
+        this->latency(this->vms[at].data_centre, server.registration().data_centre);
+    this->on_vm(at, 2 * way,
+                [this, at, upstream, &server]
+                {
+                    this->vms[at].process->requests().finish_connection_check(
+                        this->now(), upstream,
+                        server.is_down() ? quarantine::connection_check::refused
+                                         : quarantine::connection_check::accepted);
+                });
+}
+
+void world::set_crashing(const std::string& account, const std::string& object,
+                         bool crashes)
+{
+    for (const auto& each : this->servers)
+        each->set_crashing(account, object, crashes);
+}
+
 void world::watch_tokens(std::size_t at)
 {
     if (!this->watched.insert(at).second)
@@ -428,13 +478,18 @@
                     { this->vms[at].process->fleet().note_store_restored(this->now()); });
 }
 
+bool world::is_in_touch(std::size_t vm) const
+{
+    const vm_state& state = this->vms[vm];
+    return state.side == 0 && !state.outbound_loss &&
+           this->now() - state.harmed_until >= contact_time;
+}
+
 bool world::is_bound(std::size_t vm, std::size_t upstream) const
 {
     const vm_state& state = this->vms[vm];
     const auto told = state.told_at.find(upstream);
-    const bool is_harmed = state.side != 0 || state.outbound_loss ||
-                           this->now() - state.harmed_until < contact_time;
-    return !is_harmed && told != state.told_at.end() &&
+    return this->is_in_touch(vm) && told != state.told_at.end() &&
            this->now() - told->second >= told_notice;
 }
 
@@ -503,26 +558,43 @@
 void world::send_request(const std::string& account)
 {
     const std::size_t at = this->pick_vm(account);
+    if (!this->count_request(at))
+        return;
+    // Callers of different data centres ask for different objects.
+    this->submit(at, account,
+                 this->vms[at].data_centre + '/' +
+                     std::to_string(this->popularity(this->random)));
+}
+
+void world::send_request_about(std::size_t at, const std::string& account,
+                               const std::string& object)
+{
+    if (this->count_request(at))
+        this->submit(at, account, object);
+}
+
+// Returns false if the VM is not there to take a request.
+bool world::count_request(std::size_t at)
+{
     ++this->counts.sent;
     this->sent_requests.push_back(this->now());
     const vm_state& vm = this->vms[at];
-    if (!vm.ready || vm.frozen_until > this->now())
-    {
-        ++this->counts.lost;
-        return;
-    }
+    const bool is_lost = !vm.ready || vm.frozen_until > this->now();
+    this->counts.lost += is_lost ? 1 : 0;
+    return !is_lost;
+}
+
+void world::submit(std::size_t at, const std::string& account, const std::string& object)
+{
     const gateway::exchange_id id = ++this->last_exchange;
-    // Callers of different data centres ask for different objects.
-    const std::string object =
-        vm.data_centre + '/' + std::to_string(this->popularity(this->random));
     this->requests[id] = {.object = object, .sent_at = this->now()};
-    vm.process->requests().submit(this->now(), id,
-                                  {.request_id = std::to_string(id),
-                                   .host = host,
-                                   .path = prefix + object,
-                                   .key = account,
-                                   .object = object,
-                                   .time_left = deadline});
+    this->vms[at].process->requests().submit(this->now(), id,
+                                             {.request_id = std::to_string(id),
+                                              .host = host,
+                                              .path = prefix + object,
+                                              .key = account,
+                                              .object = object,
+                                              .time_left = deadline});
 }
 
 } // namespace pistachiospan::world
--- a/pistachiospan/world/world.hpp
+++ b/pistachiospan/world/world.hpp
@@ -131,6 +131,13 @@
     // Ends the process; what it was working on is lost.
     void kill(std::size_t vm);
     void restart_upstream(std::size_t index);
+    // Requests about the object, by this account, crash each upstream that begins to run
+    // them; it starts again some seconds later. With false they don't any more.
+    void set_crashing(const std::string& account, const std::string& object,
+                      bool crashes);
+    // Sends a request of the account about the object to the VM.
+    void send_request_about(std::size_t vm, const std::string& account,
+                            const std::string& object);
 
     void set_request_rate(double per_second)
     {
@@ -166,6 +173,8 @@
     {
         return this->options.accounts;
     }
+    // Whether the VM runs and nothing has harmed it lately.
+    bool is_in_touch(std::size_t vm) const;
     const caller_counts& callers() const
     {
         return this->counts;
@@ -221,6 +230,9 @@
     void send_next_request();
     std::size_t pick_vm(const std::string& account);
     void send_request(const std::string& account);
+    bool count_request(std::size_t at);
+    void submit(std::size_t at, const std::string& account, const std::string& object);
+    void check_connection(std::size_t at, const upstreams::upstream_start& upstream);
 
     world_options options;
     store_state store;
