Keep back requests that were at several upstreams that ended

Cause: each VM decided on each attempt alone. Harm that one request does to many upstreams was seen by each VM for itself or not at all.

Change: an upstream that ends is a strike against all requests that were there. Strikes are a set that is merged over all VMs; an answer removes them. With two, a request is sent alone and not again if it is lost; with three it is refused as not run, with the time until the next trial as Retry-After. One VM makes the trial, and its start counts as a strike until there is an answer.

Why it works: the third end is known to all VMs as soon as a message takes, wherever the ends were seen, and what a VM knows reaches VMs that start or return with the first notices. Requests of other callers have other fingerprints, and innocent ones lose their strikes with their next answer.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -250,7 +250,8 @@
                           .data_centre = this->options.data_centre,
                           .max_region_shift = this->options.max_region_shift,
                           .replaces_lost_process = !this->options.first_start},
-            .gateway = {.retry_ratio = this->options.retry_ratio},
+            .gateway = {.retry_ratio = this->options.retry_ratio,
+                        .seed = hash_bytes(this->options.vm.value)},
             .fleet = {.vm = this->options.vm,
                       .started = this->started,
                       .data_centre = this->options.data_centre,
@@ -674,6 +675,7 @@
     set("limit_refusals", totals.limit_refusals);
     set("upstreams", this->core.upstreams().size());
     set("limited_upstreams", this->core.upstreams().limited_upstreams().size());
+    set("quarantined_requests", this->core.requests().suspects().quarantined_count());
     set("upstream_connections_opened", this->upstream_client.connections_opened());
     set("caller_connections", this->callers.connections());
     const std::uint64_t position = this->tables.copy(table::upstreams).position();
--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -18,6 +18,7 @@
 
 #include "pistachiospan/allowance/allowance.hpp"
 #include "pistachiospan/base/base.hpp"
+#include "pistachiospan/quarantine/quarantine.hpp"
 #include "pistachiospan/upstreams/upstreams.hpp"
 
 #include <deque>
@@ -103,16 +104,18 @@
 // Errors: invalid_argument if the bytes are not a valid report.
 result<report> decode(std::string_view bytes);
 
-// What VMs tell each other about upstreams besides their reports. It is a message of its
+// What VMs tell each other about upstreams, and about requests that may crash them,
+// besides their reports. It is a message of its
 // own, so that VMs of a version without it ignore it and understand the reports.
 struct upstream_notices
 {
     std::vector<upstreams::limit_notice> limits;
     std::vector<upstreams::leaving_notice> leaving;
+    std::vector<quarantine::suspect_notice> suspects;
     bool operator==(const upstream_notices&) const = default;
     bool empty() const
     {
-        return this->limits.empty() && this->leaving.empty();
+        return this->limits.empty() && this->leaving.empty() && this->suspects.empty();
     }
 };
 
--- a/pistachiospan/fleet/fleet_test.cpp
+++ b/pistachiospan/fleet/fleet_test.cpp
@@ -310,3 +310,26 @@
     BOOST_TEST(!known.at(1).reachable);
     BOOST_TEST(!others.coordinators(start + 2s).at(0).reachable);
 }
+
+// Guards against suspects that change on the way, and against messages that take a
+// noticeable part of what a VM may send: one request in quarantine is told every 2 s.
+BOOST_AUTO_TEST_CASE(suspects_reach_other_vms_unchanged_in_few_bytes)
+{
+    const quarantine::suspect_notice suspect{
+        .request = quarantine::fingerprint_of({"shop", "/1"}),
+        .strikes = {{UINT64_MAX, UINT32_MAX, 3s}, {2, 3, 1h}, {UINT64_MAX - 1, 4, 20ms}},
+        .clearances = {{5, 10min}}};
+    const fleet::upstream_notices notices{.suspects = {suspect}};
+    const std::string bytes = fleet::encode(notices);
+    BOOST_TEST(bytes.size() <= 100U);
+    const auto decoded = fleet::decode_notices(bytes);
+    BOOST_TEST_REQUIRE(decoded.has_value());
+    BOOST_CHECK(decoded.value() == notices);
+    // Sent by a VM of the version before.
+    std::string older;
+    nlohmann::json::to_msgpack(
+        nlohmann::json::array({nlohmann::json::array(), nlohmann::json::array()}), older);
+    BOOST_TEST(fleet::decode_notices(older).value().empty());
+    for (std::size_t cut = 1; cut < bytes.size(); ++cut)
+        BOOST_TEST(!fleet::decode_notices(bytes.substr(0, cut)).has_value());
+}
--- a/pistachiospan/fleet/upstream_notices.cpp
+++ b/pistachiospan/fleet/upstream_notices.cpp
@@ -1,5 +1,7 @@
 // MessagePack encoding of upstream notices: an array of limits (id, start, requests per
-// second or nil, age in milliseconds) and one of leaving upstreams (id, start, age).
+// second or nil, age in milliseconds), one of leaving upstreams (id, start, age) and one
+// of suspects (the two halves of the fingerprint, strikes, clearances), which VMs of an
+// earlier version neither send nor read.
 
 #include "pistachiospan/fleet/fleet.hpp"
 
@@ -45,6 +47,39 @@
     return notice;
 }
 
+// Ages of strikes may reach the longest quarantine.
+std::int64_t encode_strike_age(duration age)
+{
+    return std::chrono::floor<std::chrono::milliseconds>(std::max(age, duration(0)))
+        .count();
+}
+
+nlohmann::json encode_suspect(const quarantine::suspect_notice& notice)
+{
+    nlohmann::json strikes = nlohmann::json::array();
+    for (const auto& each : notice.strikes)
+        strikes.push_back({each.source, each.service, encode_strike_age(each.age)});
+    nlohmann::json clearances = nlohmann::json::array();
+    for (const auto& each : notice.clearances)
+        clearances.push_back({each.service, encode_strike_age(each.age)});
+    return {notice.request.high, notice.request.low, std::move(strikes),
+            std::move(clearances)};
+}
+
+quarantine::suspect_notice decode_suspect(const nlohmann::json& fields)
+{
+    quarantine::suspect_notice notice{.request = {fields.at(0).get<std::uint64_t>(),
+                                                  fields.at(1).get<std::uint64_t>()}};
+    for (const nlohmann::json& each : fields.at(2))
+        notice.strikes.push_back({each.at(0).get<std::uint64_t>(),
+                                  each.at(1).get<std::uint32_t>(),
+                                  decode_age(each.at(2))});
+    for (const nlohmann::json& each : fields.at(3))
+        notice.clearances.push_back(
+            {each.at(0).get<std::uint32_t>(), decode_age(each.at(1))});
+    return notice;
+}
+
 } // namespace
 
 std::string encode(const upstream_notices& notices)
@@ -61,9 +96,14 @@
     for (const upstreams::leaving_notice& each : notices.leaving)
         leaving.push_back(
             {each.upstream.id, each.upstream.started, encode_age(each.age)});
+    nlohmann::json suspects = nlohmann::json::array();
+    for (const quarantine::suspect_notice& each : notices.suspects)
+        suspects.push_back(encode_suspect(each));
     std::string bytes;
     nlohmann::json::to_msgpack(
-        nlohmann::json::array({std::move(limits), std::move(leaving)}), bytes);
+        nlohmann::json::array(
+            {std::move(limits), std::move(leaving), std::move(suspects)}),
+        bytes);
     return bytes;
 }
 
@@ -81,6 +121,9 @@
         for (const nlohmann::json& each : all.at(1))
             notices.leaving.push_back(
                 {.upstream = decode_start(each), .age = decode_age(each.at(2))});
+        if (all.size() > 2)
+            for (const nlohmann::json& each : all.at(2))
+                notices.suspects.push_back(decode_suspect(each));
         return notices;
     }
     catch (const std::exception& problem)
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-constexpr int first_server_error = 500;
-
 upstreams::outcome outcome_of(const attempt_result& result)
 {
     switch (result.outcome)
@@ -90,13 +88,16 @@
         return "deadline";
     case refusal::stopping:
         return "stopping";
+    case refusal::quarantined:
+        return "quarantined";
     }
     return "unknown";
 }
 
 gateway::gateway(gateway_options options, upstreams::upstream_set& upstreams,
                  gateway_hooks hooks)
-    : options(options), upstreams(upstreams), hooks(std::move(hooks))
+    : options(options), upstreams(upstreams), hooks(std::move(hooks)),
+      known_suspects({.seed = options.seed})
 {
 }
 
@@ -130,7 +131,8 @@
                             .submitted_at = now};
     pending.deadline =
         now + pending.request.time_left.value_or(this->options.default_timeout);
-    if (!this->find_route(now, exchange, pending))
+    if (!this->find_route(now, exchange, pending) ||
+        !this->admit_suspect(now, exchange, pending))
         return;
     pending_request& stored =
         this->requests.emplace(exchange, std::move(pending)).first->second;
@@ -183,7 +185,7 @@
     pending.waits_for = token_wait::none;
     const upstreams::upstream_start upstream{pending.chosen.id, pending.chosen.started};
     const bool is_sent =
-        decision.admitted && !pending.caller_gone &&
+        decision.admitted && !pending.caller_gone && this->suspects_allow(now, pending) &&
         this->upstreams.remains_usable(now, pending.chosen, this->query_of(now, pending));
     if (is_sent)
     {
@@ -300,6 +302,8 @@
 // upstream has a request limit.
 void gateway::dispatch(time_point now, exchange_id exchange, pending_request& pending)
 {
+    if (!this->admit_suspect(now, exchange, pending))
+        return;
     pending.chosen = this->upstreams.select(now, this->query_of(now, pending));
     pending.was_selected = true;
     if (!pending.chosen.found)
@@ -333,6 +337,7 @@
         ++this->retry_total[pending.service].sent;
     }
     ++this->total.attempts;
+    this->begin_suspect(now, exchange, pending);
     this->upstreams.begin(now, pending.chosen);
     pending.call = this->hooks.send(
         {.exchange = exchange,
@@ -354,6 +359,7 @@
     this->upstreams.end(now, pending.chosen, outcome_of(result), now - pending.sent_at,
                         result.load);
     this->apply_upstream_state(now, pending, result);
+    this->end_suspect(pending);
     this->note_connection(now, exchange, pending, result);
     if (pending.caller_gone)
     {
@@ -389,7 +395,8 @@
         return;
     case attempt_outcome::broken:
         pending.may_have_run = true;
-        if (!idempotent || !this->retry(now, exchange, pending, false))
+        if (!idempotent || !this->may_send_again(exchange, pending, result) ||
+            !this->retry(now, exchange, pending, false))
             this->give_up(now, exchange, pending, refusal::unknown_outcome,
                           result.detail);
         return;
@@ -501,12 +508,16 @@
     if (pending.route->kind != configuration::repeatability::idempotent &&
         pending.call != 0)
     {
+        // Its owner drops the request's content.
+        if (this->hooks.identify)
+            this->fingerprint_of(exchange, pending);
         pending.caller_gone = true;
         return;
     }
     if (pending.call != 0)
     {
         this->hooks.cancel(pending.call);
+        this->end_suspect(pending);
         this->upstreams.end(now, pending.chosen, upstreams::outcome::cancelled,
                             now - pending.sent_at, std::nullopt);
     }
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -111,10 +111,14 @@
     unknown_outcome, // it may have run
     deadline,        // no answer in time; it may have run
     stopping,        // no answer is expected before this process ends
+    quarantined,     // it was at several upstreams that ended
 };
 
 std::string_view name_of(refusal reason);
 
+// Status codes from this one on report a failure of the upstream.
+inline constexpr int first_server_error = 500;
+
 struct refusal_answer
 {
     refusal reason = refusal::none;
@@ -171,9 +175,14 @@
     // Tries a new connection to an upstream. finish_connection_check() must follow.
     std::function<void(const upstreams::upstream_start&, const std::string& address)>
         check_connection = nullptr;
-    // An upstream has ended with requests of this VM.
-    std::function<void(time_point, const quarantine::upstream_end&)> upstream_ended =
-        nullptr;
+    // An upstream has ended with requests of this VM. `quarantined`: those that are in
+    // quarantine since.
+    std::function<void(time_point, const quarantine::upstream_end&,
+                       std::span<const quarantine::fingerprint> quarantined)>
+        upstream_ended = nullptr;
+    // A trial was begun, or an answer has cleared the request.
+    std::function<void(time_point, const quarantine::fingerprint&, bool cleared)>
+        suspect_changed = nullptr;
 };
 
 struct gateway_options
@@ -260,6 +269,15 @@
     // The caller needs no answer any more.
     void caller_left(time_point now, exchange_id exchange);
 
+    // Requests that may crash upstreams, as this VM and the others know them.
+    quarantine::suspects& suspects()
+    {
+        return this->known_suspects;
+    }
+    const quarantine::suspects& suspects() const
+    {
+        return this->known_suspects;
+    }
     counts totals() const;
     // By service.
     std::map<std::string, retry_counts> retry_totals(time_point now) const;
@@ -295,6 +313,8 @@
         bool holds_retry = false;  // a retry is charged and not sent yet
         bool was_selected = false; // an upstream for it, before
         std::optional<quarantine::fingerprint> fingerprint; // once it was needed
+        quarantine::admission admitted_as = quarantine::admission::send;
+        bool is_suspect_sent = false; // the attempt counts at the suspects
         // Decisions about tokens of upstreams' limits after which it was not sent.
         std::uint32_t unused_admissions = 0;
     };
@@ -307,8 +327,16 @@
                               const attempt_result& result);
     const quarantine::fingerprint& fingerprint_of(exchange_id exchange,
                                                   pending_request& pending) const;
+    bool suspects_allow(time_point now, const pending_request& pending) const;
+    bool admit_suspect(time_point now, exchange_id exchange, pending_request& pending);
+    void begin_suspect(time_point now, exchange_id exchange, pending_request& pending);
+    void end_suspect(pending_request& pending);
+    bool may_send_again(exchange_id exchange, pending_request& pending,
+                        const attempt_result& lost) const;
     void note_connection(time_point now, exchange_id exchange, pending_request& pending,
                          const attempt_result& result);
+    void clear_suspect(time_point now, exchange_id exchange, pending_request& pending,
+                       const attempt_result& result);
     void report_ends(time_point now, const std::vector<quarantine::upstream_end>& ended);
     bool retry(time_point now, exchange_id exchange, pending_request& pending,
                bool not_run);
@@ -336,6 +364,7 @@
     std::map<std::string, retry_counts> retry_total; // by service
     std::optional<time_point> stops_at;              // end of this process
     quarantine::end_detector ends;
+    quarantine::suspects known_suspects;
     counts total;
 };
 
--- a/pistachiospan/gateway/gateway_test.cpp
+++ b/pistachiospan/gateway/gateway_test.cpp
@@ -60,7 +60,8 @@
                    [this](const upstreams::upstream_start& upstream, const std::string&)
                { this->checked.push_back(upstream.id); },
                .upstream_ended =
-                   [this](time_point, const quarantine::upstream_end& ended)
+                   [this](time_point, const quarantine::upstream_end& ended,
+                          std::span<const quarantine::fingerprint>)
                {
                    this->ended.push_back(ended);
                }})
--- a/pistachiospan/steering/steering.cpp
+++ b/pistachiospan/steering/steering.cpp
@@ -1,5 +1,7 @@
 #include "pistachiospan/steering/steering.hpp"
 
+#include <algorithm>
+
 namespace pistachiospan::steering
 {
 
@@ -10,6 +12,13 @@
 // in a row may be lost.
 constexpr duration notice_period = std::chrono::seconds(3);
 
+// Interval at which requests in quarantine are told again, and how many of them at most.
+// VMs that return from a cut have to know them within 3 s.
+constexpr duration quarantine_interval = std::chrono::seconds(2);
+constexpr std::size_t max_repeated_suspects = 8;
+// Bounds one message when many upstreams end at once.
+constexpr std::size_t max_told_suspects = 64;
+
 upstream_event event_of(const upstreams::upstream_start& upstream,
                         const upstreams::limit_statement& limit, bool told)
 {
@@ -38,29 +47,33 @@
 
 gateway::gateway_hooks core::make_gateway_hooks()
 {
-    return {.ask_token = [this](gateway::exchange_id id, const std::string& account)
-            { this->request_token(id, account); },
-            .return_token = [this](const std::string& account)
-            { this->local_node.return_token(this->hooks.now(), account); },
-            .ask_upstream_token =
-                [this](gateway::exchange_id id, const upstreams::upstream_start& upstream)
-            { this->request_upstream_token(id, upstream); },
-            .return_upstream_token = [this](const upstreams::upstream_start& upstream)
-            { this->local_node.return_upstream_token(this->hooks.now(), upstream); },
-            .send = this->hooks.send_attempt,
-            .cancel = this->hooks.cancel_attempt,
-            .deliver = this->hooks.deliver,
-            .refuse = this->hooks.refuse,
-            .report = this->hooks.report,
-            .notice = [this](const gateway::upstream_notice& notice)
-            { this->note_upstream(notice); },
-            .identify = this->hooks.identify,
-            .check_connection = this->hooks.check_connection,
-            .upstream_ended =
-                [this](time_point now, const quarantine::upstream_end& ended)
-            {
-                this->note_end(now, ended);
-            }};
+    return {
+        .ask_token = [this](gateway::exchange_id id, const std::string& account)
+        { this->request_token(id, account); },
+        .return_token = [this](const std::string& account)
+        { this->local_node.return_token(this->hooks.now(), account); },
+        .ask_upstream_token =
+            [this](gateway::exchange_id id, const upstreams::upstream_start& upstream)
+        { this->request_upstream_token(id, upstream); },
+        .return_upstream_token = [this](const upstreams::upstream_start& upstream)
+        { this->local_node.return_upstream_token(this->hooks.now(), upstream); },
+        .send = this->hooks.send_attempt,
+        .cancel = this->hooks.cancel_attempt,
+        .deliver = this->hooks.deliver,
+        .refuse = this->hooks.refuse,
+        .report = this->hooks.report,
+        .notice = [this](const gateway::upstream_notice& notice)
+        { this->note_upstream(notice); },
+        .identify = this->hooks.identify,
+        .check_connection = this->hooks.check_connection,
+        .upstream_ended = [this](time_point now, const quarantine::upstream_end& ended,
+                                 std::span<const quarantine::fingerprint> quarantined)
+        { this->note_end(now, ended, quarantined); },
+        .suspect_changed =
+            [this](time_point now, const quarantine::fingerprint& request, bool cleared)
+        {
+            this->note_suspect(now, request, cleared);
+        }};
 }
 
 fleet_node::node_hooks core::make_fleet_hooks()
@@ -98,7 +111,8 @@
         {
             const bool leaving = this->learn_leaving(now, received.leaving);
             const bool limits = this->learn_limits(now, received.limits);
-            return leaving || limits;
+            const bool suspects = this->learn_suspects(now, received.suspects);
+            return leaving || limits || suspects;
         },
         .version_received = this->hooks.version_received,
         .vm_count_changed = [this](std::size_t count) { this->note_vm_count(count); },
@@ -120,6 +134,7 @@
         return;
     this->hooks.log("vm_count", {{"count", count}, {"before", before}});
     this->known_upstreams.set_vm_count(count);
+    this->local_requests.suspects().set_vm_count(count);
 }
 
 void core::request_token(gateway::exchange_id id, const std::string& account)
@@ -154,9 +169,11 @@
     this->apply_limits(now);
     const upstreams::request_limits& limits = this->known_upstreams.named_limits();
     if (recent)
-        return {.limits = limits.changed_since(now, notice_period)};
+        return {.limits = limits.changed_since(now, notice_period),
+                .suspects = this->known_suspects(now, true)};
     return {.limits = limits.in_force(now),
-            .leaving = this->known_upstreams.unregistered_leaving(now)};
+            .leaving = this->known_upstreams.unregistered_leaving(now),
+            .suspects = this->known_suspects(now, false)};
 }
 
 bool core::learn_limits(time_point now, std::span<const upstreams::limit_notice> received)
@@ -199,13 +216,63 @@
     this->local_node.send_updates(this->hooks.now());
 }
 
-void core::note_end(time_point, const quarantine::upstream_end& ended)
+// Suspects that have changed lately and, from time to time or if `recent` is not set, all
+// that are in quarantine: a VM that was cut off for a while must know them soon.
+std::vector<quarantine::suspect_notice> core::known_suspects(time_point now, bool recent)
+{
+    quarantine::suspects& known = this->local_requests.suspects();
+    known.forget_old(now);
+    std::vector<quarantine::suspect_notice> told =
+        known.changed_since(now, notice_period, max_told_suspects);
+    if (recent && now - this->quarantine_told_at < quarantine_interval)
+        return told;
+    this->quarantine_told_at = now;
+    const std::size_t max_count = recent ? max_repeated_suspects : max_told_suspects;
+    for (quarantine::suspect_notice& each : known.quarantined(now, max_count))
+        if (std::ranges::find(told, each.request, &quarantine::suspect_notice::request) ==
+            told.end())
+            told.push_back(std::move(each));
+    return told;
+}
+
+bool core::learn_suspects(time_point now,
+                          std::span<const quarantine::suspect_notice> received)
+{
+    quarantine::suspects& known = this->local_requests.suspects();
+    bool changed = false;
+    for (const quarantine::suspect_notice& each : received)
+    {
+        const bool before = known.is_quarantined(each.request);
+        changed |= known.merge(now, each);
+        const bool after = known.is_quarantined(each.request);
+        if (before != after)
+            this->hooks.log(
+                after ? "request_quarantined" : "request_cleared",
+                {{"fingerprint", quarantine::to_text(each.request)}, {"told", true}});
+    }
+    return changed;
+}
+
+void core::note_suspect(time_point now, const quarantine::fingerprint& request,
+                        bool cleared)
+{
+    this->hooks.log(cleared ? "request_cleared" : "quarantine_trial",
+                    {{"fingerprint", quarantine::to_text(request)}, {"told", false}});
+    this->local_node.send_notices(now);
+}
+
+void core::note_end(time_point now, const quarantine::upstream_end& ended,
+                    std::span<const quarantine::fingerprint> quarantined)
 {
     std::vector<std::string> requests;
     for (const quarantine::lost_request& each : ended.requests)
         requests.push_back(quarantine::to_text(each.request));
     this->hooks.log("upstream_ended",
                     {{"upstream", ended.upstream.id}, {"requests", requests}});
+    for (const quarantine::fingerprint& each : quarantined)
+        this->hooks.log("request_quarantined",
+                        {{"fingerprint", quarantine::to_text(each)}, {"told", false}});
+    this->local_node.send_notices(now);
 }
 
 bool core::learn_leaving(time_point now,
--- a/pistachiospan/steering/steering.hpp
+++ b/pistachiospan/steering/steering.hpp
@@ -116,7 +116,13 @@
     gateway::gateway_hooks make_gateway_hooks();
     fleet_node::node_hooks make_fleet_hooks();
     void note_upstream(const gateway::upstream_notice& notice);
-    void note_end(time_point now, const quarantine::upstream_end& ended);
+    void note_end(time_point now, const quarantine::upstream_end& ended,
+                  std::span<const quarantine::fingerprint> quarantined);
+    void note_suspect(time_point now, const quarantine::fingerprint& request,
+                      bool cleared);
+    bool learn_suspects(time_point now,
+                        std::span<const quarantine::suspect_notice> received);
+    std::vector<quarantine::suspect_notice> known_suspects(time_point now, bool recent);
     // Apply what another VM has told. Return true if anything of it is new.
     bool learn_leaving(time_point now,
                        std::span<const upstreams::leaving_notice> received);
@@ -136,6 +142,7 @@
     fleet_node::node local_node;
     std::uint64_t applied_limits = 0; // version that the node enforces
     std::size_t vm_count = 0;         // that share with this one; 0: not known yet
+    time_point quarantine_told_at;    // all requests in quarantine
 };
 
 } // namespace pistachiospan::steering
--- a/pistachiospan/world/crash_test.cpp
+++ b/pistachiospan/world/crash_test.cpp
@@ -9,6 +9,7 @@
 using namespace pistachiospan;
 using namespace pistachiospan::world;
 using namespace std::chrono_literals;
+using gateway::refusal;
 
 namespace
 {
@@ -101,3 +102,68 @@
     all.run_for(60s);
     check(count_crashes(all, "faulty", crashing_object), options);
 }
+
+// Guards against other requests that are refused because they ran beside the one that
+// crashes upstreams, and against a rival's request that only looks like it.
+BOOST_AUTO_TEST_CASE(innocent_requests_are_served_beside_a_crashing_one)
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U})
+    {
+        world_options options = options_of(seed, 9);
+        options.skew = 0.8;
+        deployment all(options);
+        all.set_crashing("faulty", crashing_object, true);
+        all.run_for(start_time);
+        keep_sending(all, 300ms);
+        all.run_for(5s);
+        const std::size_t refused = all.callers().reasons.at(refusal::quarantined);
+        const std::size_t attempts = 40;
+        for (std::size_t each = 0; each < attempts; ++each)
+        {
+            all.send_request_about(each % all.vm_count(), "rival", crashing_object);
+            all.run_for(100ms);
+        }
+        // The crashing request itself is refused about three times a second.
+        const std::size_t own = attempts * 100 / 300 + 1;
+        BOOST_TEST(all.callers().reasons.at(refusal::quarantined) - refused <= own);
+    }
+}
+
+// Guards against requests that are taken for the cause when many upstreams end at once,
+// or one after the other, for a reason of their own.
+BOOST_AUTO_TEST_CASE(crashes_from_outside_put_no_request_in_quarantine)
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U})
+    {
+        world_options options = options_of(seed, 9);
+        options.skew = 0.8;
+        deployment all(options);
+        all.run_for(start_time);
+        for (std::size_t each = 0; each < 20; ++each)
+            all.upstream_at(each).crash();
+        all.run_for(5s);
+        for (std::size_t each = 0; each < all.upstream_count(); ++each)
+        {
+            all.upstream_at(each).crash();
+            all.run_for(250ms);
+        }
+        all.run_for(5s);
+        BOOST_TEST(!all.callers().reasons.contains(refusal::quarantined));
+    }
+}
+
+// Guards against an outage of its own after the upstreams have been repaired.
+BOOST_AUTO_TEST_CASE(repaired_upstreams_get_the_request_again)
+{
+    const world_options options = options_of(1, 9);
+    deployment all(options);
+    all.set_crashing("faulty", crashing_object, true);
+    all.run_for(start_time);
+    keep_sending(all, 300ms);
+    all.run_for(10s);
+    all.set_crashing("faulty", crashing_object, false);
+    all.run_for(300s);
+    const std::size_t refused = all.callers().reasons.at(refusal::quarantined);
+    all.run_for(20s);
+    BOOST_TEST(all.callers().reasons.at(refusal::quarantined) == refused);
+}
