--- a/pistachiospan/world/world.cpp
+++ b/pistachiospan/world/world.cpp
@@ -34,6 +34,8 @@
 // VMs start within this time of each other.
 constexpr duration start_spread = 300ms;
 
+// Time for a connection to an upstream to be accepted.
+constexpr duration connect_timeout = 400ms;
 // From a crash of an upstream until it starts again.
 constexpr duration crash_time = 2s;
 
@@ -242,6 +244,7 @@
             ++this->counts.answered;
             const duration elapsed = this->now() - this->requests.at(id).sent_at;
             this->counts.on_time += elapsed <= this->options.objective ? 1 : 0;
+            this->request_outcomes[this->requests.at(id).outcome].answered = true;
             this->requests.erase(id);
         },
         .refuse =
@@ -348,9 +351,10 @@
     this->calls[id] = {.exchange = attempt.exchange, .vm = at, .upstream = server};
     const duration way = this->latency(this->vms[at].data_centre,
                                        this->servers[server]->registration().data_centre);
-    if (this->servers[server]->is_down())
+    const upstream_link link = this->vms[at].upstreams;
+    if (this->servers[server]->is_down() || link != upstream_link::open)
     {
-        this->on_vm(at, 2 * way,
+        this->on_vm(at, link == upstream_link::silent ? connect_timeout : 2 * way,
                     [this, id] {
                         this->finish_attempt(
                             id, {.outcome = gateway::attempt_outcome::not_sent});
@@ -409,13 +413,17 @@
         *this->servers[this->servers_by_id.at(upstream.id)];
     const duration way =
         this->latency(this->vms[at].data_centre, server.registration().data_centre);
-    this->on_vm(at, 2 * way,
-                [this, at, upstream, &server]
+    const upstream_link link = this->vms[at].upstreams;
+    quarantine::connection_check outcome = quarantine::connection_check::accepted;
+    if (link == upstream_link::silent)
+        outcome = quarantine::connection_check::unclear;
+    else if (link == upstream_link::refusing || server.is_down())
+        outcome = quarantine::connection_check::refused;
+    this->on_vm(at, link == upstream_link::silent ? connect_timeout : 2 * way,
+                [this, at, upstream, outcome]
                 {
                     this->vms[at].process->requests().finish_connection_check(
-                        this->now(), upstream,
-                        server.is_down() ? quarantine::connection_check::refused
-                                         : quarantine::connection_check::accepted);
+                        this->now(), upstream, outcome);
                 });
 }
 
@@ -587,7 +595,10 @@
 void world::submit(std::size_t at, const std::string& account, const std::string& object)
 {
     const gateway::exchange_id id = ++this->last_exchange;
-    this->requests[id] = {.object = object, .sent_at = this->now()};
+    this->requests[id] = {.object = object,
+                          .sent_at = this->now(),
+                          .outcome = this->request_outcomes.size()};
+    this->request_outcomes.push_back({.sent_at = this->now(), .vm = at});
     this->vms[at].process->requests().submit(this->now(), id,
                                              {.request_id = std::to_string(id),
                                               .host = host,
--- a/pistachiospan/world/world.hpp
+++ b/pistachiospan/world/world.hpp
@@ -48,6 +48,14 @@
     duration between_regions = std::chrono::milliseconds(12);
 };
 
+// What a VM's new connections to upstreams meet.
+enum class upstream_link
+{
+    open,
+    refusing, // they are refused at once
+    silent,   // nothing answers
+};
+
 // One VM. The faults may be set at any time.
 struct vm_state
 {
@@ -59,6 +67,7 @@
     bool ready = false;                      // has read configuration and registry
     time_point frozen_until;
     int side = 0; // VMs on different sides do not reach each other; all reach upstreams
+    upstream_link upstreams = upstream_link::open;
     bool outbound_loss = false; // it receives datagrams, but those that it sends are lost
     time_point harmed_until;    // by restarts and by faults that are set elsewhere
     // When the present process first passed on an answer that names a limit, by upstream.
@@ -81,6 +90,14 @@
     double slack = 0; // retries
 };
 
+// One request of a caller that reached a VM.
+struct caller_request_outcome
+{
+    time_point sent_at;
+    std::size_t vm = 0;
+    bool answered = false; // by an upstream
+};
+
 // What the callers saw.
 struct caller_counts
 {
@@ -184,6 +201,11 @@
     {
         return this->sent_requests;
     }
+    // In the order of their sending.
+    const std::deque<caller_request_outcome>& outcomes() const
+    {
+        return this->request_outcomes;
+    }
     // The retries that the users' rule allows over all VMs.
     retry_bound allowed_retries() const;
 
@@ -192,6 +214,7 @@
     {
         std::string object;
         time_point sent_at;
+        std::size_t outcome = 0; // index of its record
     };
 
     struct call
@@ -263,6 +286,7 @@
     std::set<std::size_t> watched;                      // VMs with a token timer
     caller_counts counts;
     std::deque<time_point> sent_requests;
+    std::deque<caller_request_outcome> request_outcomes;
 };
 
 } // namespace pistachiospan::world
