Pass requests on to another VM while no upstream can be reached

Cause: a VM without upstreams could only refuse; nothing else used the VMs around it that could serve its callers.

Change: a VM takes itself for cut off when several upstreams have failed it and none has answered or accepted a connection since. While it is, and when a request finds no usable upstream, it passes the request on to another VM as that VM's caller, one hop. The other VM authenticates it, charges its account and keeps to its homes. VMs that have no upstream either are left out for a while.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -112,6 +112,7 @@
 
     void handle_request(http1::exchange_id id, http1::request&& incoming);
     gateway::call_id send(const gateway::attempt& attempt);
+    void forward(http1::exchange_id id, const std::string& address, duration time_left);
     void refuse(http1::exchange_id id, const gateway::refusal_answer& answer);
     quarantine::fingerprint identify(http1::exchange_id id,
                                      const std::string& account) const;
@@ -151,6 +152,8 @@
     internal::metrics metrics;
     steering::core core;
     http1::client upstream_client;
+    http1::client vm_client; // to other VMs, as a caller of theirs
+    std::unordered_map<http1::exchange_id, http1::call_id> forwarded;
     std::unordered_map<http1::exchange_id, http1::request> exchanges; // not yet answered
     std::set<std::string> evacuated;
     http1::server callers;
@@ -180,13 +183,14 @@
       upstream_client(base,
                       {.correlation_header = this->codec.correlation_header,
                        .max_buffered = this->options.max_memory / body_memory_divisor}),
+      vm_client(base, {.max_buffered = this->options.max_memory / body_memory_divisor}),
       callers(base, this->options.caller_address,
               {.on_request = [this](http1::exchange_id id, http1::request&& incoming)
                { this->handle_request(id, std::move(incoming)); },
                .on_disconnect =
                    [this](http1::exchange_id id)
                {
-                   this->core.requests().caller_left(monotonic_now(), id);
+                   this->core.caller_left(monotonic_now(), id);
                    this->exchanges.erase(id);
                }}),
       peers(base, this->options.peer_address,
@@ -263,61 +267,69 @@
 
 steering::core_hooks edge_daemon::implementation::make_core_hooks()
 {
-    return {.now = monotonic_now,
-            .send_attempt = [this](const gateway::attempt& attempt)
-            { return this->send(attempt); },
-            .cancel_attempt = [this](gateway::call_id call)
-            { this->upstream_client.cancel(call); },
-            .identify = [this](gateway::exchange_id id, const std::string& account)
-            { return this->identify(id, account); },
-            .check_connection = [this](const upstreams::upstream_start& upstream,
-                                       const std::string& address)
-            { this->check_connection(upstream, address); },
-            .deliver =
-                [this](gateway::exchange_id id, const std::any& answer)
-            {
-                this->exchanges.erase(id);
-                this->callers.respond(id, std::any_cast<const http1::response&>(answer));
-            },
-            .refuse = [this](gateway::exchange_id id, const gateway::refusal_answer& why)
-            { this->refuse(id, why); },
-            .send_datagram =
-                [this](std::string_view datagram, std::span<const std::string> addresses)
-            { this->peers.send(datagram, addresses); },
-            .claim =
-                [this](const cell::claim& due)
-            {
-                this->store.claim(
-                    due, [this](const result<cell::claim_outcome>& outcome)
-                    { this->core.fleet().finish_claim(monotonic_now(), outcome); });
-            },
-            .read_coordinators =
-                [this]
-            {
-                this->store.read_coordinators(
-                    [this](const result<std::map<std::string, std::string>>& all) {
-                        this->core.fleet().finish_coordinator_read(monotonic_now(), all);
-                    });
-            },
-            .state = [this](time_point now) { return this->current_state(now); },
-            .version_received =
-                [this](time_point now, const vm_id& peer, std::uint64_t version)
-            { this->note_version(now, peer, version); },
-            .role_changed =
-                [this](cell::role next)
-            {
-                if (next != cell::role::searching)
-                    this->tables.start();
-            },
-            .tokens_pending = [this] { this->check_tokens(); },
-            .report = [this](const gateway::record& decision) { this->record(decision); },
-            .upstream_changed = [this](const steering::upstream_event& event)
-            { this->log_change(event); },
-            .log =
-                [this](std::string_view event, const fields& content)
-            {
-                this->log(event, content);
-            }};
+    return {
+        .now = monotonic_now,
+        .send_attempt = [this](const gateway::attempt& attempt)
+        { return this->send(attempt); },
+        .cancel_attempt = [this](gateway::call_id call)
+        { this->upstream_client.cancel(call); },
+        .identify = [this](gateway::exchange_id id, const std::string& account)
+        { return this->identify(id, account); },
+        .check_connection =
+            [this](const upstreams::upstream_start& upstream, const std::string& address)
+        { this->check_connection(upstream, address); },
+        .deliver =
+            [this](gateway::exchange_id id, const std::any& answer)
+        {
+            this->exchanges.erase(id);
+            this->callers.respond(id, std::any_cast<const http1::response&>(answer));
+        },
+        .refuse = [this](gateway::exchange_id id, const gateway::refusal_answer& why)
+        { this->refuse(id, why); },
+        .forward = [this](gateway::exchange_id id, const std::string& address,
+                          duration time_left) { this->forward(id, address, time_left); },
+        .cancel_forward =
+            [this](gateway::exchange_id id)
+        {
+            if (const auto call = this->forwarded.extract(id))
+                this->vm_client.cancel(call.mapped());
+        },
+        .send_datagram =
+            [this](std::string_view datagram, std::span<const std::string> addresses)
+        { this->peers.send(datagram, addresses); },
+        .claim =
+            [this](const cell::claim& due)
+        {
+            this->store.claim(
+                due, [this](const result<cell::claim_outcome>& outcome)
+                { this->core.fleet().finish_claim(monotonic_now(), outcome); });
+        },
+        .read_coordinators =
+            [this]
+        {
+            this->store.read_coordinators(
+                [this](const result<std::map<std::string, std::string>>& all)
+                { this->core.fleet().finish_coordinator_read(monotonic_now(), all); });
+        },
+        .state = [this](time_point now) { return this->current_state(now); },
+        .version_received =
+            [this](time_point now, const vm_id& peer, std::uint64_t version)
+        { this->note_version(now, peer, version); },
+        .role_changed =
+            [this](cell::role next)
+        {
+            if (next != cell::role::searching)
+                this->tables.start();
+        },
+        .tokens_pending = [this] { this->check_tokens(); },
+        .report = [this](const gateway::record& decision) { this->record(decision); },
+        .upstream_changed = [this](const steering::upstream_event& event)
+        { this->log_change(event); },
+        .log =
+            [this](std::string_view event, const fields& content)
+        {
+            this->log(event, content);
+        }};
 }
 
 internal::store_view_hooks edge_daemon::implementation::make_store_hooks()
@@ -378,8 +390,25 @@
 void edge_daemon::implementation::refuse(http1::exchange_id id,
                                          const gateway::refusal_answer& answer)
 {
-    this->exchanges.erase(id);
-    this->callers.respond(id, this->codec.encode_refusal(answer));
+    const auto exchange = this->exchanges.extract(id);
+    const bool to_vm = exchange && this->codec.is_forwarded(exchange.mapped());
+    this->callers.respond(id, this->codec.encode_refusal(answer, to_vm));
+}
+
+void edge_daemon::implementation::forward(http1::exchange_id id,
+                                          const std::string& address, duration time_left)
+{
+    const http1::request outgoing =
+        this->codec.encode_forward(this->exchanges.at(id), time_left);
+    this->forwarded[id] = this->vm_client.send(
+        address, outgoing,
+        {.timeout = time_left, .max_idle_time = max_idle_non_repeatable},
+        [this, id](http1::call_result outcome)
+        {
+            this->forwarded.erase(id);
+            this->core.finish_forward(monotonic_now(), id,
+                                      this->codec.decode_forward(std::move(outcome)));
+        });
 }
 
 quarantine::fingerprint
@@ -601,6 +630,7 @@
 {
     const time_point now = monotonic_now();
     this->core.fleet().check(now);
+    this->core.check_links(now);
     this->tables.check(now);
 }
 
@@ -675,6 +705,9 @@
     set("limit_refusals", totals.limit_refusals);
     set("upstreams", this->core.upstreams().size());
     set("limited_upstreams", this->core.upstreams().limited_upstreams().size());
+    set("upstreams_reachable",
+        this->core.upstreams().is_cut_off(monotonic_now()) ? 0 : 1);
+    set("forwarded_pending", this->forwarded.size());
     set("quarantined_requests", this->core.requests().suspects().quarantined_count());
     set("upstream_connections_opened", this->upstream_client.connections_opened());
     set("caller_connections", this->callers.connections());
--- a/pistachiospan/edge/edge.hpp
+++ b/pistachiospan/edge/edge.hpp
@@ -91,7 +91,15 @@
         encode_attempt;
     // `answer` in the result holds the http1::response for the caller.
     std::function<gateway::attempt_result(http1::call_result)> decode_attempt;
-    std::function<http1::response(const gateway::refusal_answer&)> encode_refusal;
+    // `to_vm`: the refusal answers a request that another VM has passed on.
+    std::function<http1::response(const gateway::refusal_answer&, bool to_vm)>
+        encode_refusal;
+    // A caller's request as it is passed on to another VM, and what that VM answered.
+    std::function<http1::request(const http1::request& from, duration time_left)>
+        encode_forward;
+    std::function<steering::forward_result(http1::call_result)> decode_forward;
+    // Whether another VM has passed the request on.
+    std::function<bool(const http1::request&)> is_forwarded;
     std::function<std::optional<location>(const http1::request&)> decode_directory;
     std::function<http1::response(std::span<const std::string> addresses, duration ttl)>
         encode_directory;
--- a/pistachiospan/fleet_node/fleet_node.hpp
+++ b/pistachiospan/fleet_node/fleet_node.hpp
@@ -179,6 +179,8 @@
 
     std::vector<std::string> addresses_for(time_point now, std::string_view region,
                                            std::string_view data_centre) const;
+    // Caller addresses of the usable VMs without this one, by data centre.
+    fleet::address_lists other_vms(time_point now) const;
 
 private:
     // Recipients of a digest: a new member gets all lists, the others get those that have
--- a/pistachiospan/fleet_node/known_vms.cpp
+++ b/pistachiospan/fleet_node/known_vms.cpp
@@ -104,10 +104,18 @@
 
 std::vector<std::string> node::addresses_for(time_point now, std::string_view region,
                                              std::string_view data_centre) const
+{
+    fleet::address_lists usable = this->other_vms(now);
+    if (this->own_entry(this->hooks.state(now)).usable)
+        usable[this->options.data_centre].push_back(this->options.caller_address);
+    return fleet::addresses_for({.regions = this->options.places}, usable, region,
+                                data_centre);
+}
+
+fleet::address_lists node::other_vms(time_point now) const
 {
     fleet::address_lists usable;
-    const own_state state = this->hooks.state(now);
-    const fleet::vm_entry self = this->own_entry(state);
+    const fleet::vm_entry self = this->own_entry(this->hooks.state(now));
     if (this->local_cell.is_coordinator())
     {
         usable = this->membership.caller_addresses(now);
@@ -116,12 +124,8 @@
     }
     else if (now - this->coordinator_heard_at <= digest_validity)
         usable = this->caller_addresses;
-    std::vector<std::string>& own_addresses = usable[this->options.data_centre];
-    std::erase(own_addresses, this->options.caller_address);
-    if (self.usable)
-        own_addresses.push_back(this->options.caller_address);
-    return fleet::addresses_for({.regions = this->options.places}, usable, region,
-                                data_centre);
+    std::erase(usable[this->options.data_centre], this->options.caller_address);
+    return usable;
 }
 
 } // namespace pistachiospan::fleet_node
--- a/pistachiospan/gateway/crash_watch.cpp
+++ b/pistachiospan/gateway/crash_watch.cpp
@@ -115,7 +115,10 @@
                                       quarantine::connection_check outcome)
 {
     if (outcome == quarantine::connection_check::accepted)
+    {
+        this->upstreams.note_reached(now);
         this->report_ends(now, this->ends.note_answer(now, upstream));
+    }
     const bool has_ended = this->ends.finish_check(now, upstream, outcome);
     if (!has_ended)
         return;
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -134,6 +134,8 @@
     if (!this->find_route(now, exchange, pending) ||
         !this->admit_suspect(now, exchange, pending))
         return;
+    if (this->upstreams.is_cut_off(now) && this->forward(now, exchange, pending))
+        return;
     pending_request& stored =
         this->requests.emplace(exchange, std::move(pending)).first->second;
     if (stored.account == nullptr)
@@ -461,12 +463,36 @@
     this->hooks.deliver(exchange, std::move(result.answer));
 }
 
+// Passes a request on that has not been sent to any upstream. The other VM charges its
+// client account, so a token that was granted here is returned.
+bool gateway::forward(time_point now, exchange_id exchange,
+                      const pending_request& pending)
+{
+    if (!this->hooks.forward || pending.request.is_forwarded)
+        return false;
+    forward_request outgoing{.deadline = now + this->upstream_time_limit(now, pending),
+                             .homes = pending.route->home_regions};
+    if (pending.account != nullptr)
+        outgoing.account_homes = pending.account->home_regions;
+    if (!this->hooks.forward(exchange, outgoing))
+        return false;
+    if (pending.holds_token)
+        this->hooks.return_token(pending.account->name);
+    this->return_retry(now, pending);
+    this->report(now, "forwarded", pending, refusal::none, 0, {});
+    this->requests.erase(exchange);
+    return true;
+}
+
 // Refuses a request that no upstream answered. Marks it as not run, and returns its
 // token, only if no upstream can have run it.
 void gateway::give_up(time_point now, exchange_id exchange,
                       const pending_request& pending, refusal reason,
                       std::string_view detail)
 {
+    if (reason == refusal::no_upstream && !pending.may_have_run &&
+        this->forward(now, exchange, pending))
+        return;
     refusal_answer answer{.reason = reason, .may_have_run = pending.may_have_run};
     if (pending.may_have_run && reason != refusal::deadline)
         answer.reason = refusal::unknown_outcome;
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -46,6 +46,7 @@
     std::string key;                   // empty: the request has none
     std::string object;                // affinity key of the request; empty: none
     std::size_t body_size = 0;         // bytes
+    bool is_forwarded = false;         // another VM has passed it on to this one
     std::optional<duration> time_left; // as given by the caller
 };
 
@@ -86,6 +87,15 @@
     std::optional<upstreams::limit_statement> limit;
 };
 
+// A request that another VM is to serve, because no upstream can be reached from here.
+struct forward_request
+{
+    time_point deadline;
+    // Regions in which the request may be handled; both apply. Empty: all.
+    std::vector<std::string> homes;
+    std::vector<std::string> account_homes;
+};
+
 // What an upstream reported about itself in an answer.
 struct upstream_notice
 {
@@ -168,6 +178,9 @@
     std::function<void(exchange_id, const refusal_answer&)> refuse;
     std::function<void(const record&)> report = nullptr;
     std::function<void(const upstream_notice&)> notice = nullptr;
+    // Passes the request on to another VM, which authenticates and admits it. Returns
+    // false if there is none. The gateway has no part in the exchange afterwards.
+    std::function<bool(exchange_id, const forward_request&)> forward = nullptr;
     // The fingerprint of the exchange's request, for this caller. Without this hook and
     // the next one, ends of upstreams are not noticed.
     std::function<quarantine::fingerprint(exchange_id, const std::string& account)>
@@ -327,6 +340,7 @@
                               const attempt_result& result);
     const quarantine::fingerprint& fingerprint_of(exchange_id exchange,
                                                   pending_request& pending) const;
+    bool forward(time_point now, exchange_id exchange, const pending_request& pending);
     bool suspects_allow(time_point now, const pending_request& pending) const;
     bool admit_suspect(time_point now, exchange_id exchange, pending_request& pending);
     void begin_suspect(time_point now, exchange_id exchange, pending_request& pending);
--- a/pistachiospan/steering/steering.cpp
+++ b/pistachiospan/steering/steering.cpp
@@ -19,6 +19,15 @@
 // Bounds one message when many upstreams end at once.
 constexpr std::size_t max_told_suspects = 64;
 
+// Upstreams that a VM without any tries at once: one alone may be down itself.
+constexpr std::size_t links_tried = 2;
+
+std::string region_of(const fleet_node::node_options& options)
+{
+    const auto own = options.places.find(options.data_centre);
+    return own == options.places.end() ? std::string() : own->second;
+}
+
 upstream_event event_of(const upstreams::upstream_start& upstream,
                         const upstreams::limit_statement& limit, bool told)
 {
@@ -35,8 +44,45 @@
     : hooks(std::move(given)),
       known_upstreams(std::move(options.upstreams), options.fleet.places),
       local_requests(options.gateway, this->known_upstreams, this->make_gateway_hooks()),
-      local_node(this->hooks.now(), std::move(options.fleet), this->make_fleet_hooks())
+      local_node(this->hooks.now(), options.fleet, this->make_fleet_hooks()),
+      helpers({.regions = options.fleet.places,
+               .region = region_of(options.fleet),
+               .seed = options.gateway.seed},
+              this->make_forwarder_hooks())
+{
+}
+
+forwarder_hooks core::make_forwarder_hooks()
+{
+    return {.send = this->hooks.forward,
+            .cancel = this->hooks.cancel_forward,
+            .deliver = this->hooks.deliver,
+            .refuse = this->hooks.refuse};
+}
+
+void core::finish_forward(time_point now, gateway::exchange_id exchange,
+                          forward_result result)
 {
+    this->helpers.finish(now, exchange, std::move(result),
+                         this->local_node.other_vms(now));
+}
+
+void core::caller_left(time_point now, gateway::exchange_id exchange)
+{
+    this->local_requests.caller_left(now, exchange);
+    this->helpers.caller_left(exchange);
+}
+
+void core::check_links(time_point now)
+{
+    const bool is_cut_off = this->known_upstreams.is_cut_off(now);
+    if (std::exchange(this->was_cut_off, is_cut_off) != is_cut_off)
+        this->hooks.log(is_cut_off ? "upstreams_lost" : "upstreams_regained",
+                        {{"upstreams", this->known_upstreams.size()}});
+    if (!is_cut_off || !this->hooks.check_connection)
+        return;
+    for (const auto& each : this->known_upstreams.next_to_try(links_tried))
+        this->hooks.check_connection(each.upstream, each.address);
 }
 
 void core::set_configuration(const std::shared_ptr<const configuration::state>& next)
@@ -64,6 +110,13 @@
         .report = this->hooks.report,
         .notice = [this](const gateway::upstream_notice& notice)
         { this->note_upstream(notice); },
+        .forward =
+            [this](gateway::exchange_id id, const gateway::forward_request& request)
+        {
+            const time_point now = this->hooks.now();
+            return this->hooks.forward &&
+                   this->helpers.begin(now, id, request, this->local_node.other_vms(now));
+        },
         .identify = this->hooks.identify,
         .check_connection = this->hooks.check_connection,
         .upstream_ended = [this](time_point now, const quarantine::upstream_end& ended,
--- a/pistachiospan/steering/steering.hpp
+++ b/pistachiospan/steering/steering.hpp
@@ -16,6 +16,7 @@
 
 #include "pistachiospan/fleet_node/fleet_node.hpp"
 #include "pistachiospan/gateway/gateway.hpp"
+#include "pistachiospan/steering/forwarding.hpp"
 #include "pistachiospan/upstreams/upstreams.hpp"
 
 namespace pistachiospan::steering
@@ -61,6 +62,13 @@
     std::function<void(gateway::exchange_id, std::any answer)> deliver;
     std::function<void(gateway::exchange_id, const gateway::refusal_answer&)> refuse;
 
+    // Sends the exchange's request to another VM as its caller; finish_forward() must
+    // follow, unless cancelled. Without this hook requests are not passed on.
+    std::function<void(gateway::exchange_id, const std::string& address,
+                       duration time_left)>
+        forward = nullptr;
+    std::function<void(gateway::exchange_id)> cancel_forward = nullptr;
+
     // To the other VMs and the store; see fleet_node::node_hooks.
     std::function<void(std::string_view datagram, std::span<const std::string> addresses)>
         send_datagram;
@@ -87,6 +95,14 @@
 
     void set_configuration(const std::shared_ptr<const configuration::state>& next);
 
+    // The outcome of core_hooks::forward.
+    void finish_forward(time_point now, gateway::exchange_id exchange,
+                        forward_result result);
+    // The caller of a request needs no answer any more.
+    void caller_left(time_point now, gateway::exchange_id exchange);
+    // While this VM reaches no upstream, tries some of them. Call several times a second.
+    void check_links(time_point now);
+
     gateway::gateway& requests()
     {
         return this->local_requests;
@@ -114,6 +130,7 @@
 
 private:
     gateway::gateway_hooks make_gateway_hooks();
+    forwarder_hooks make_forwarder_hooks();
     fleet_node::node_hooks make_fleet_hooks();
     void note_upstream(const gateway::upstream_notice& notice);
     void note_end(time_point now, const quarantine::upstream_end& ended,
@@ -140,6 +157,8 @@
     upstreams::upstream_set known_upstreams;
     gateway::gateway local_requests;
     fleet_node::node local_node;
+    forwarder helpers;
+    bool was_cut_off = false;         // at the last check of the links
     std::uint64_t applied_limits = 0; // version that the node enforces
     std::size_t vm_count = 0;         // that share with this one; 0: not known yet
     time_point quarantine_told_at;    // all requests in quarantine
--- a/pistachiospan/upstreams/notices.cpp
+++ b/pistachiospan/upstreams/notices.cpp
@@ -53,6 +53,56 @@
                     .address = last->registration.address};
 }
 
+// What the outcome of an attempt says about this VM's links.
+void upstream_set::note_outcome(time_point now, const std::string& id, outcome result,
+                                duration latency)
+{
+    switch (result)
+    {
+    case outcome::answered:
+    case outcome::shed:
+    case outcome::failed:
+    case outcome::misdirected:
+        this->note_reached(now);
+        return;
+    case outcome::broken:
+    case outcome::timed_out:
+    case outcome::not_sent:
+        this->reach.note_failure(now, now - latency, id);
+        return;
+    case outcome::cancelled:
+        return;
+    }
+}
+
+// The upstreams that failed while this VM was cut off get requests at once again.
+void upstream_set::note_reached(time_point now)
+{
+    if (!this->reach.note_contact(now))
+        return;
+    for (const auto& [id, each] : this->upstreams_by_id)
+        each->availability.note_answer(now);
+}
+
+std::vector<upstream_set::endpoint> upstream_set::next_to_try(std::size_t count)
+{
+    std::set<std::string> ids;
+    for (const auto& [id, each] : this->upstreams_by_id)
+        ids.insert(id);
+    std::vector<endpoint> chosen;
+    auto next = ids.upper_bound(this->last_tried);
+    while (chosen.size() < std::min(count, ids.size()))
+    {
+        if (next == ids.end())
+            next = ids.begin();
+        const upstream& each = *this->find(*next);
+        chosen.push_back({.upstream = {*next, each.registration.started},
+                          .address = each.registration.address});
+        this->last_tried = *next++;
+    }
+    return chosen;
+}
+
 std::vector<upstream_start> upstream_set::leaving_since(time_point now,
                                                         duration age) const
 {
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -543,6 +543,7 @@
 void upstream_set::end(time_point now, const selection& chosen, outcome result,
                        duration latency, std::optional<load_report> report)
 {
+    this->note_outcome(now, chosen.id, result, latency);
     upstream* target = this->find(chosen.id);
     if (target == nullptr)
         return;
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -23,6 +23,7 @@
 #include "pistachiospan/upstreams/internal/availability.hpp"
 #include "pistachiospan/upstreams/internal/learned_time.hpp"
 #include "pistachiospan/upstreams/internal/limit_use.hpp"
+#include "pistachiospan/upstreams/internal/reachability.hpp"
 #include "pistachiospan/upstreams/request_limits.hpp"
 
 #include <deque>
@@ -295,6 +296,16 @@
         std::string address;
     };
     std::optional<endpoint> last_answering(const upstream_start& except) const;
+    // An upstream has accepted a connection.
+    void note_reached(time_point now);
+    // Whether this VM reaches no upstream: they fail it, and none answers. Until it is
+    // told of one that does, with note_reached() or end().
+    bool is_cut_off(time_point now) const
+    {
+        return this->reach.is_cut_off(now);
+    }
+    // Registered upstreams to be tried while this VM is cut off, others with each call.
+    std::vector<endpoint> next_to_try(std::size_t count);
     // Upstreams known as leaving for less than `age`, to be reported to the other VMs.
     std::vector<upstream_start> leaving_since(time_point now, duration age) const;
     // Upstreams that are known as leaving although the registry lists them as ready, for
@@ -452,6 +463,8 @@
     selection no_usable_upstream(time_point now, const query& request,
                                  const service_group& group) const;
     void make_cold(time_point now, upstream& target, duration left) const;
+    void note_outcome(time_point now, const std::string& id, outcome result,
+                      duration latency);
 
     upstream_set_options options;
     region_map regions;
@@ -463,6 +476,8 @@
     std::map<upstream_start, time_point> leaving; // since when it is known
     request_limits limits;
     std::uint64_t limited_changes = 0;
+    internal::reachability reach;
+    std::string last_tried;             // by next_to_try()
     std::uint64_t request_sequence = 0; // hashed for requests without an object
 };
 
--- a/pistachiospan/world/world.cpp
+++ b/pistachiospan/world/world.cpp
@@ -129,6 +129,7 @@
     this->vms.push_back(
         {.id = {name}, .data_centre = data_centre, .address = name + ":1"});
     this->vms_by_address[name + ":1"] = at;
+    this->vms_by_caller_address[name + ":2"] = at;
     return at;
 }
 
@@ -153,7 +154,11 @@
                 [this, at] { this->vms[at].process->fleet().check(this->now()); });
     this->on_vm(at, setup_time, [this, at] { this->load_tables(at); });
     this->repeat_on_vm(at, check_interval,
-                       [this, at] { this->vms[at].process->fleet().check(this->now()); });
+                       [this, at]
+                       {
+                           this->vms[at].process->fleet().check(this->now());
+                           this->vms[at].process->check_links(this->now());
+                       });
     this->repeat_on_vm(at, tick_interval,
                        [this, at] { this->vms[at].process->fleet().tick(this->now()); });
 }
@@ -239,21 +244,27 @@
             [this, at](const upstreams::upstream_start& upstream, const std::string&)
         { this->check_connection(at, upstream); },
         .deliver =
-            [this](gateway::exchange_id id, const std::any&)
+            [this](gateway::exchange_id id, const std::any& answer)
         {
-            ++this->counts.answered;
-            const duration elapsed = this->now() - this->requests.at(id).sent_at;
-            this->counts.on_time += elapsed <= this->options.objective ? 1 : 0;
-            this->request_outcomes[this->requests.at(id).outcome].answered = true;
-            this->requests.erase(id);
+            if (!this->pass_back(id, {.outcome = steering::forward_outcome::answered,
+                                      .answer = answer}))
+                this->finish_request(id, answer);
         },
         .refuse =
             [this](gateway::exchange_id id, const gateway::refusal_answer& answer)
         {
-            ++this->counts.refused;
-            ++this->counts.reasons[answer.reason];
-            this->requests.erase(id);
+            const bool is_unusable =
+                !answer.may_have_run && answer.reason == gateway::refusal::no_upstream;
+            if (!this->pass_back(
+                    id, {.outcome = is_unusable ? steering::forward_outcome::unusable
+                                                : steering::forward_outcome::answered,
+                         .answer = answer}))
+                this->finish_request(id, answer);
         },
+        .forward = [this, at](gateway::exchange_id id, const std::string& address,
+                              duration time_left)
+        { this->forward(at, id, address, time_left); },
+        .cancel_forward = [](gateway::exchange_id) {},
         .send_datagram =
             [this, at](std::string_view datagram, std::span<const std::string> addresses)
         { this->send_datagram(at, datagram, addresses); },
@@ -407,6 +418,66 @@
                                                         result);
 }
 
+// Gives the outcome of a request that another VM has passed on back to that VM. Returns
+// false if it comes from a caller.
+bool world::pass_back(gateway::exchange_id id, steering::forward_result result)
+{
+    const auto found = this->forwarded.extract(id);
+    if (!found)
+        return false;
+    this->requests.erase(id);
+    const forwarded_request from = found.mapped();
+    this->on_vm(from.vm, this->options.within_region,
+                [this, from, result = std::move(result)] {
+                    this->vms[from.vm].process->finish_forward(this->now(), from.exchange,
+                                                               result);
+                });
+    return true;
+}
+
+void world::finish_request(gateway::exchange_id id, const std::any& answer)
+{
+    const auto found = this->requests.extract(id);
+    if (const auto* refused = std::any_cast<gateway::refusal_answer>(&answer))
+    {
+        ++this->counts.refused;
+        ++this->counts.reasons[refused->reason];
+        return;
+    }
+    ++this->counts.answered;
+    const duration elapsed = this->now() - found.mapped().sent_at;
+    this->counts.on_time += elapsed <= this->options.objective ? 1 : 0;
+    this->request_outcomes[found.mapped().outcome].answered = true;
+}
+
+void world::forward(std::size_t at, gateway::exchange_id id, const std::string& address,
+                    duration time_left)
+{
+    const gateway::exchange_id passed_on = ++this->last_exchange;
+    const request& original = this->requests.at(id);
+    this->requests[passed_on] = original;
+    this->forwarded[passed_on] = {.vm = at, .exchange = id};
+    const std::size_t helper = this->vms_by_caller_address.at(address);
+    this->events.after(
+        this->latency(this->vms[at].data_centre, this->vms[helper].data_centre),
+        [this, helper, passed_on, time_left]
+        {
+            const vm_state& vm = this->vms[helper];
+            if (!vm.ready || vm.frozen_until > this->now())
+                this->pass_back(passed_on,
+                                {.outcome = steering::forward_outcome::unusable});
+            else
+                this->submit_to(helper, passed_on, time_left, true);
+        });
+    this->on_vm(at, time_left,
+                [this, at, id]
+                {
+                    this->vms[at].process->finish_forward(
+                        this->now(), id,
+                        {.outcome = steering::forward_outcome::timed_out});
+                });
+}
+
 void world::check_connection(std::size_t at, const upstreams::upstream_start& upstream)
 {
     const pistachiospan::world::upstream& server =
@@ -596,16 +667,25 @@
 {
     const gateway::exchange_id id = ++this->last_exchange;
     this->requests[id] = {.object = object,
+                          .account = account,
                           .sent_at = this->now(),
                           .outcome = this->request_outcomes.size()};
     this->request_outcomes.push_back({.sent_at = this->now(), .vm = at});
+    this->submit_to(at, id, deadline, false);
+}
+
+void world::submit_to(std::size_t at, gateway::exchange_id id, duration time_left,
+                      bool is_forwarded)
+{
+    const request& sent = this->requests.at(id);
     this->vms[at].process->requests().submit(this->now(), id,
                                              {.request_id = std::to_string(id),
                                               .host = host,
-                                              .path = prefix + object,
-                                              .key = account,
-                                              .object = object,
-                                              .time_left = deadline});
+                                              .path = prefix + sent.object,
+                                              .key = sent.account,
+                                              .object = sent.object,
+                                              .is_forwarded = is_forwarded,
+                                              .time_left = time_left});
 }
 
 } // namespace pistachiospan::world
--- a/pistachiospan/world/world.hpp
+++ b/pistachiospan/world/world.hpp
@@ -213,6 +213,7 @@
     struct request
     {
         std::string object;
+        std::string account;
         time_point sent_at;
         std::size_t outcome = 0; // index of its record
     };
@@ -254,7 +255,13 @@
     std::size_t pick_vm(const std::string& account);
     void send_request(const std::string& account);
     bool count_request(std::size_t at);
+    bool pass_back(gateway::exchange_id id, steering::forward_result result);
+    void finish_request(gateway::exchange_id id, const std::any& answer);
+    void submit_to(std::size_t at, gateway::exchange_id id, duration time_left,
+                   bool is_forwarded);
     void submit(std::size_t at, const std::string& account, const std::string& object);
+    void forward(std::size_t at, gateway::exchange_id id, const std::string& address,
+                 duration time_left);
     void check_connection(std::size_t at, const upstreams::upstream_start& upstream);
 
     world_options options;
@@ -266,6 +273,14 @@
     std::shared_ptr<const configuration::state> active;
     std::vector<vm_state> vms;
     std::map<std::string, std::size_t> vms_by_address;
+    std::map<std::string, std::size_t> vms_by_caller_address;
+    // Requests at the VM that serves them for another one, by their exchange there.
+    struct forwarded_request
+    {
+        std::size_t vm = 0; // that has passed it on
+        gateway::exchange_id exchange = 0;
+    };
+    std::map<gateway::exchange_id, forwarded_request> forwarded;
     std::vector<std::unique_ptr<upstream>> servers;
     std::map<std::string, std::size_t> servers_by_id;
     // What the VMs have written to the store.
