--- a/pistachiospan/quarantine/suspects.cpp
+++ b/pistachiospan/quarantine/suspects.cpp
@@ -250,6 +250,7 @@
                       [](const auto* each) { return each->second.strikes.size(); });
     changed.resize(std::min(changed.size(), max_count));
     std::vector<suspect_notice> notices;
+    notices.reserve(changed.size());
     for (const auto* each : changed)
         notices.push_back(describe(now, each->first, each->second));
     return notices;
@@ -266,6 +267,7 @@
                       [](const auto* each) { return last_strike(each->second); });
     chosen.resize(std::min(chosen.size(), max_count));
     std::vector<suspect_notice> notices;
+    notices.reserve(chosen.size());
     for (const auto* each : chosen)
         notices.push_back(describe(now, each->first, each->second));
     return notices;
