Do not take rows from another VM whose removal this copy has seen

A coordinator removed seven upstreams and 0.3 s later added them again, with their old row versions.

A VM that copies from it takes that page because it is later, and with it the rows that it had seen removed.

Change: a row from another VM is passed over if this copy has seen its removal at that version or a later one.

--- a/pistachiospan/mirror/mirror.cpp
+++ b/pistachiospan/mirror/mirror.cpp
@@ -133,10 +133,21 @@
            (age == content_age::unknown && in_restored_page);
 }
 
-// Applies a row that is present in the store.
-void table_mirror::apply(time_point now, const row& received, bool in_restored_page)
+// True if this copy has seen the removal of the row as it is received.
+bool table_mirror::was_removed(const row& received) const
 {
-    if (this->is_outdated(received))
+    const auto removed = this->removed_rows.find(received.key);
+    return removed != this->removed_rows.end() &&
+           removed->second.last.version >= received.version;
+}
+
+// Applies a row that is present in the store, or in the copy of another VM. That copy may
+// hold a removal for a while after an outage and go on to later positions meanwhile.
+void table_mirror::apply(time_point now, const row& received, origin from,
+                         bool in_restored_page)
+{
+    const bool is_held_elsewhere = from == origin::peer && this->was_removed(received);
+    if (is_held_elsewhere || this->is_outdated(received))
         this->report_passed_over(
             {received.key, received.version, this->known_version(received.key)});
     else if (this->may_be_revived(received, in_restored_page))
@@ -206,7 +217,7 @@
     for (const row& each : all.rows)
     {
         present.insert(each.key);
-        this->apply(now, each, restored);
+        this->apply(now, each, from, restored);
     }
     std::vector<row> missing;
     for (const auto& [key, each] : this->rows)
@@ -248,7 +259,7 @@
         if (known > each.version)
             this->report_passed_over({each.key, each.version, known});
         else if (!each.deleted)
-            this->apply(now, each, false);
+            this->apply(now, each, from, false);
         else if (after_outage)
             this->hold_removal(now + this->options.removal_grace, each.key, each.version);
         else
--- a/pistachiospan/mirror/mirror.hpp
+++ b/pistachiospan/mirror/mirror.hpp
@@ -183,7 +183,8 @@
     // True if the row was removed, and may be in the store only because that is lost.
     bool may_be_revived(const row& received, bool in_restored_page) const;
     void hold_revival(time_point now, const row& received);
-    void apply(time_point now, const row& received, bool in_restored_page);
+    bool was_removed(const row& received) const;
+    void apply(time_point now, const row& received, origin from, bool in_restored_page);
     std::uint64_t known_version(const std::string& key) const;
     void report_passed_over(const passed_over& what) const;
     // Returns true if the read that has just succeeded is the first one after an outage.
--- a/pistachiospan/mirror/mirror_test.cpp
+++ b/pistachiospan/mirror/mirror_test.cpp
@@ -329,3 +329,34 @@
     BOOST_TEST(read.value().cursor == 5U);
     BOOST_TEST(!mirror::decode("\x93garbage").has_value());
 }
+
+// Guards against an upstream that has left and is in use again, because another VM's copy
+// still holds its removal after an outage: that copy is at a later position and has the
+// row as it was.
+BOOST_AUTO_TEST_CASE(rows_held_by_another_vm_do_not_return_after_their_removal)
+{
+    for (const bool as_snapshot : {true, false})
+    {
+        recorded_mirror holding;
+        recorded_mirror follower;
+        const mirror::page before = {.rows = {row("a", 5), row("b", 6)}, .position = 6};
+        follower.copy.apply_snapshot(start, before);
+        if (as_snapshot)
+            holding.copy.apply_snapshot(start, before);
+        follower.copy.apply_changes(start + 1s,
+                                    {.rows = {removed_row("a", 7)}, .position = 7});
+        // The store is away for the other VM, and the row is gone when it is back.
+        holding.copy.note_read_failure(start);
+        if (!as_snapshot)
+            holding.copy.apply_relay_page(
+                start, {.content = before, .is_snapshot = true, .instance = 9});
+        holding.copy.apply_snapshot(start + 2s, {.rows = {row("b", 6)}, .position = 8});
+        follower.copy.apply_relay_page(start + 2s, holding.copy.changes_since(0, 0));
+        BOOST_TEST(follower.copy.snapshot().rows.size() == 1U);
+        BOOST_TEST(follower.changes.size() == 2U);
+        // A row that was written again since is a new one, also from another VM.
+        holding.copy.apply_changes(start + 3s, {.rows = {row("a", 9)}, .position = 9});
+        follower.copy.apply_relay_page(start + 3s, holding.copy.changes_since(0, 0));
+        BOOST_TEST(follower.changes.back() == "a=v9");
+    }
+}
