Pass on only requests that no upstream has got

A request that upstreams had refused as not run, and for which none was left, was passed on to another VM as well. Its attempt there is a retry that no budget was charged for, so the retries of a service could exceed the bound in an overload.

--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -463,12 +463,13 @@
     this->hooks.deliver(exchange, std::move(result.answer));
 }
 
-// Passes a request on that has not been sent to any upstream. The other VM charges its
+// Passes a request on that no upstream has got: for one that was refused, the other VM's
+// attempt would be a retry that no budget was charged for. The other VM charges its
 // client account, so a token that was granted here is returned.
 bool gateway::forward(time_point now, exchange_id exchange,
                       const pending_request& pending)
 {
-    if (!this->hooks.forward || pending.request.is_forwarded)
+    if (!this->hooks.forward || pending.request.is_forwarded || pending.attempts > 0)
         return false;
     forward_request outgoing{.deadline = now + this->upstream_time_limit(now, pending),
                              .homes = pending.route->home_regions};
--- a/pistachiospan/gateway/gateway_test.cpp
+++ b/pistachiospan/gateway/gateway_test.cpp
@@ -52,6 +52,13 @@
                { this->records.push_back(event); },
                .notice = [this](const gateway::upstream_notice& notice)
                { this->notices.push_back(notice); },
+               .forward =
+                   [this](gateway::exchange_id id, const gateway::forward_request&)
+               {
+                   if (this->forwards)
+                       this->forwarded.push_back(id);
+                   return this->forwards;
+               },
                .identify =
                    [this](gateway::exchange_id id, const std::string& account) {
                        return quarantine::fingerprint_of({account, this->paths.at(id)});
@@ -138,6 +145,8 @@
     std::map<gateway::exchange_id, std::string> paths;
     std::vector<std::string> checked; // upstreams, by a new connection
     std::vector<quarantine::upstream_end> ended;
+    std::vector<gateway::exchange_id> forwarded; // to other VMs
+    bool forwards = false;                       // another VM takes requests
     bool delay_tokens = false;
     upstreams::upstream_set known;
     allowance::ledger allowances;
@@ -609,3 +618,32 @@
         {.outcome = attempt_outcome::broken, .connection_lost = true});
     BOOST_TEST(test.checked.size() == 2U);
 }
+
+// Guards against retries at another VM that no budget was charged for, against a second
+// hop, and against a rate that is charged at both VMs.
+BOOST_AUTO_TEST_CASE(only_requests_that_no_upstream_got_are_passed_on)
+{
+    fixture test;
+    test.forwards = true;
+    test.known.remove("u2");
+    test.submit(1, "/read/1");
+    test.end(1, attempt_outcome::not_run);
+    BOOST_TEST(test.forwarded.empty());
+    BOOST_TEST(test.refused.size() == 1U);
+    test.known.remove("u1");
+    test.submit(2, "/read/2", "small");
+    BOOST_TEST(test.forwarded.size() == 1U);
+    BOOST_TEST(test.requests.totals().pending == 0U);
+    // The account's only token was returned.
+    BOOST_TEST(test.allowances.admit(start, "small").admitted);
+    test.requests.submit(start, 3,
+                         {.request_id = "3",
+                          .host = "a.example",
+                          .path = "/read/3",
+                          .key = "key",
+                          .is_forwarded = true,
+                          .time_left = 1s});
+    BOOST_TEST(test.forwarded.size() == 1U);
+    BOOST_TEST_REQUIRE(test.refused.size() == 2U);
+    BOOST_CHECK(test.refused.back().reason == refusal::no_upstream);
+}
