Tell which removals a copy holds after an outage

Cause: a VM that was cut off from the store holds the removals that its first read after that shows for 2.1 s more, because owners write such rows again. It passed these rows on as if the store still had them, also to VMs that start.

Change: pages name the rows whose removal is held; a VM that does not have such a row does not add it. Versions before ignore the names.

Evidence: mirror_test rows_held_by_another_vm_are_not_new_ones failed and passes.

--- a/pistachiospan/mirror/mirror.cpp
+++ b/pistachiospan/mirror/mirror.cpp
@@ -23,8 +23,8 @@
         rows.push_back({each.key,
                         nlohmann::json::binary({each.value.begin(), each.value.end()}),
                         each.version, each.deleted});
-    const nlohmann::json all = {page.instance, page.cursor, page.is_snapshot,
-                                page.content.position, std::move(rows)};
+    const nlohmann::json all = {page.instance,         page.cursor,     page.is_snapshot,
+                                page.content.position, std::move(rows), page.held};
     std::string bytes;
     nlohmann::json::to_msgpack(all, bytes);
     return internal::compress(bytes);
@@ -42,6 +42,9 @@
                         .is_snapshot = all.at(2).get<bool>(),
                         .instance = all.at(0).get<std::uint64_t>(),
                         .cursor = all.at(1).get<std::uint64_t>()};
+        // VMs of the version before do not send it.
+        if (all.size() > 5)
+            page.held = all.at(5).get<std::vector<std::string>>();
         for (const nlohmann::json& each : all.at(4))
         {
             const nlohmann::json::binary_t& value = each.at(1).get_binary();
@@ -294,12 +297,22 @@
                   { return now - each.second.at > this->options.removal_memory; });
 }
 
+// A row whose removal the other VM holds is kept here, but not added: this VM had no such
+// outage.
 void table_mirror::apply_relay_page(time_point now, const relay_page& received)
 {
+    page content = received.content;
+    std::erase_if(content.rows,
+                  [&](const row& each)
+                  {
+                      const bool is_held = std::ranges::find(received.held, each.key) !=
+                                           received.held.end();
+                      return is_held && !this->rows.contains(each.key);
+                  });
     if (received.is_snapshot)
-        this->apply_snapshot(now, received.content, origin::peer);
+        this->apply_snapshot(now, content, origin::peer);
     else
-        this->apply_changes(now, received.content, origin::peer);
+        this->apply_changes(now, content, origin::peer);
 }
 
 relay_page table_mirror::changes_since(std::uint64_t instance, std::uint64_t cursor) const
@@ -307,6 +320,8 @@
     relay_page page{.content = {.position = this->current_position},
                     .instance = this->options.instance,
                     .cursor = this->changes};
+    for (const auto& [key, each] : this->held_removals)
+        page.held.push_back(key);
     const std::uint64_t missing = this->changes - cursor;
     const bool known = instance == this->options.instance && cursor <= this->changes &&
                        missing <= this->history.size();
--- a/pistachiospan/mirror/mirror.hpp
+++ b/pistachiospan/mirror/mirror.hpp
@@ -50,6 +50,9 @@
     bool is_snapshot = false;
     std::uint64_t instance = 0;
     std::uint64_t cursor = 0;
+    // Keys of rows that the store does not have any more, and whose removal the sending
+    // copy holds after an outage of its own.
+    std::vector<std::string> held;
 };
 
 // Encodes and compresses a page: the operator's configuration may have hundreds of
--- a/pistachiospan/mirror/mirror_test.cpp
+++ b/pistachiospan/mirror/mirror_test.cpp
@@ -360,3 +360,34 @@
         BOOST_TEST(follower.changes.back() == "a=v9");
     }
 }
+
+// Guards against an upstream that has left and is used by a VM that starts, because it
+// copies from one that still holds the removal after an outage of its own.
+BOOST_AUTO_TEST_CASE(rows_held_by_another_vm_are_not_new_ones)
+{
+    recorded_mirror holding;
+    holding.copy.apply_snapshot(start,
+                                {.rows = {row("a", 5), row("b", 6)}, .position = 6});
+    recorded_mirror follower;
+    follower.copy.apply_relay_page(start, holding.copy.changes_since(0, 0));
+    const std::uint64_t cursor = holding.copy.cursor();
+    holding.copy.note_read_failure(start);
+    holding.copy.apply_snapshot(start + 2s, {.rows = {row("b", 6)}, .position = 8});
+    BOOST_TEST(holding.copy.snapshot().rows.size() == 2U);
+    const auto sent = [&](std::uint64_t since)
+    {
+        return mirror::decode(mirror::encode(holding.copy.changes_since(7, since)))
+            .value();
+    };
+    recorded_mirror started;
+    started.copy.apply_relay_page(start + 2s, sent(0));
+    BOOST_TEST(started.changes == std::vector<std::string>{"b=v6"},
+               boost::test_tools::per_element());
+    // One that has the row keeps it for as long as the other VM does.
+    follower.copy.apply_relay_page(start + 2s, sent(cursor));
+    BOOST_TEST(follower.removed.empty());
+    holding.copy.tick(start + 5s);
+    follower.copy.apply_relay_page(start + 5s, sent(cursor));
+    BOOST_TEST(follower.removed == std::vector<std::string>{"a"},
+               boost::test_tools::per_element());
+}
