Let pages from another VM end an outage of the store

Cause: a VM whose reads of the store had failed, and that has copied all changes from another VM since, took its next read of the store for the first one after an outage, ten seconds later, and held the removals that it showed for 2.1 s; so did the VMs that copy from it.

Change: a page from another VM at this copy's position or later ends the outage.

Evidence: mirror_test copies_from_another_vm_end_the_outage failed and passes.

--- a/pistachiospan/mirror/mirror.cpp
+++ b/pistachiospan/mirror/mirror.cpp
@@ -313,6 +313,9 @@
         this->apply_snapshot(now, content, origin::peer);
     else
         this->apply_changes(now, content, origin::peer);
+    // What happened to rows while this VM's own reads failed is known from there.
+    if (this->current_position == content.position)
+        this->read_failing = false;
 }
 
 relay_page table_mirror::changes_since(std::uint64_t instance, std::uint64_t cursor) const
--- a/pistachiospan/mirror/mirror_test.cpp
+++ b/pistachiospan/mirror/mirror_test.cpp
@@ -391,3 +391,20 @@
     BOOST_TEST(follower.removed == std::vector<std::string>{"a"},
                boost::test_tools::per_element());
 }
+
+// Guards against an upstream that has left and stays in use, because a VM that has copied
+// from another one since its own reads failed takes its next read for the first one after
+// an outage and holds the removal.
+BOOST_AUTO_TEST_CASE(copies_from_another_vm_end_the_outage)
+{
+    recorded_mirror other;
+    recorded_mirror follower;
+    const mirror::page before = {.rows = {row("a", 5), row("b", 6)}, .position = 6};
+    other.copy.apply_snapshot(start, before);
+    follower.copy.apply_snapshot(start, before);
+    follower.copy.note_read_failure(start + 1s);
+    follower.copy.apply_relay_page(start + 3s, other.copy.changes_since(0, 0));
+    follower.copy.apply_snapshot(start + 9s, {.rows = {row("b", 6)}, .position = 8});
+    BOOST_TEST(follower.removed == std::vector<std::string>{"a"},
+               boost::test_tools::per_element());
+}
