--- a/pistachiospan/world/crash_check.cpp
+++ b/pistachiospan/world/crash_check.cpp
@@ -29,7 +29,7 @@
     for (std::size_t each = 0; each < all.upstream_count(); ++each)
         for (const arrival& received : all.upstream_at(each).arrivals())
             if (received.object == object && received.account == account &&
-                received.in_touch && received.sent_at > since)
+                received.unharmed && received.sent_at > since)
                 ++report.late_arrivals;
     return report;
 }
--- a/pistachiospan/world/crash_check.hpp
+++ b/pistachiospan/world/crash_check.hpp
@@ -13,7 +13,7 @@
 struct crash_report
 {
     std::size_t crashes = 0;
-    std::size_t late_arrivals = 0; // sent by VMs in touch `contactMs` after the third one
+    std::size_t late_arrivals = 0; // sent by unharmed VMs 3 s or more after the third one
 };
 
 // Late arrivals that the rule allows.
--- a/pistachiospan/world/upstream.cpp
+++ b/pistachiospan/world/upstream.cpp
@@ -46,7 +46,7 @@
                               .object = request.object,
                               .ran = has_room,
                               .is_excused = request.is_excused,
-                              .in_touch = request.in_touch});
+                              .unharmed = request.unharmed});
     if (has_slot)
         this->start({request.account, request.object, std::move(answer)});
     else if (has_room)
--- a/pistachiospan/world/upstream.hpp
+++ b/pistachiospan/world/upstream.hpp
@@ -37,7 +37,7 @@
     std::string object;
     std::string account; // empty: an open request
     bool is_excused = false;
-    bool in_touch = true;
+    bool unharmed = true;
 };
 
 // One request that reached an upstream.
@@ -51,7 +51,7 @@
     std::string object;
     bool ran = false;        // it was not refused
     bool is_excused = false; // the rule on limits does not count it
-    bool in_touch = true;    // nothing has harmed the VM lately
+    bool unharmed = true;    // nothing has harmed the VM lately
 };
 
 // A request limit that the upstream named in its answers from this time on; none: it
--- a/pistachiospan/world/world.cpp
+++ b/pistachiospan/world/world.cpp
@@ -381,7 +381,7 @@
                                  .object = this->requests.at(attempt.exchange).object,
                                  .account = attempt.account,
                                  .is_excused = !this->is_bound(at, server),
-                                 .in_touch = this->is_in_touch(at)}]
+                                 .unharmed = this->is_unharmed(at)}]
         {
             this->servers[server]->receive(
                 sent,
@@ -557,7 +557,7 @@
                     { this->vms[at].process->fleet().note_store_restored(this->now()); });
 }
 
-bool world::is_in_touch(std::size_t vm) const
+bool world::is_unharmed(std::size_t vm) const
 {
     const vm_state& state = this->vms[vm];
     return state.side == 0 && !state.outbound_loss &&
@@ -568,7 +568,7 @@
 {
     const vm_state& state = this->vms[vm];
     const auto told = state.told_at.find(upstream);
-    return this->is_in_touch(vm) && told != state.told_at.end() &&
+    return this->is_unharmed(vm) && told != state.told_at.end() &&
            this->now() - told->second >= told_notice;
 }
 
--- a/pistachiospan/world/world.hpp
+++ b/pistachiospan/world/world.hpp
@@ -191,7 +191,7 @@
         return this->options.accounts;
     }
     // Whether the VM runs and nothing has harmed it lately.
-    bool is_in_touch(std::size_t vm) const;
+    bool is_unharmed(std::size_t vm) const;
     const caller_counts& callers() const
     {
         return this->counts;
