--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -158,7 +158,7 @@
     double load = 0;      // requests at the upstream
     duration objective{0};
     std::string detail;
-    // The request's fingerprint, if an upstream's side closed its connection.
+    // The request's fingerprint; empty while nothing has needed it.
     std::string fingerprint;
 };
 
