--- a/review/3/case.py
+++ b/review/3/case.py
@@ -39,11 +39,11 @@
 
 def make_fragile(record, server):
     """While the server is cold, it crashes at a rate well above the one that it tolerates."""
-    handle, since = server.handle, [0]
+    handle = server.handle
 
     async def guarded(request, reader, writer):
         now = record.now()
-        recent = sum(1 for at, _ in server.arrivals[-100:] if at > max(now - 1, since[0]))
+        recent = sum(1 for at, _ in server.arrivals[-100:] if at > max(now - 1, server.up_since))
         if server.cold_ms() and recent >= CRASHES_AT:
             lost = server.running
             record.note(f"server {server.identity} crashes: {recent} requests in one second "
@@ -51,8 +51,8 @@
             await server.crash()
             server.running = 0
             await asyncio.sleep(DOWN_S)
-            since[0] = record.now()
             await server.start(server.identity)
+            server.up_since = record.now()
             server.cold_until = time.monotonic() + COLD_S
             record.note(f"server {server.identity} is back, cold for 3 s")
             return
@@ -60,6 +60,7 @@
             await asyncio.sleep(server.work_s)  # a cold server works twice as long
         await handle(request, reader, writer)
 
+    server.up_since = 0
     server.handle = guarded
 
 
@@ -113,6 +114,7 @@
                 record.note(f"server {victim.identity} has crashed")
                 await asyncio.sleep(DOWN_S)
                 await victim.start(victim.identity)
+                victim.up_since = record.now()  # what came before does not count
                 victim.cold_until = time.monotonic() + COLD_S
                 begin = record.now()
                 record.note(f"server {victim.identity} is back under its id and cold for 3 s; "
