Show in logs and metrics why an upstream is taken not to have run a request

"retried" lines said "not run" or "failed or broken" only, and a refusal after a 421 could not be told from one after a copy of an earlier 421. The lines of an attempt that an upstream refused now name the status, whether it bears the header that states it, whether it bears the request's id, and whether it is the first answer on its connection; pistachiospan_upstream_refusals_total counts the same.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -380,9 +380,12 @@
              attempt.repeatable ? max_idle_repeatable : max_idle_non_repeatable},
         [this, call, id = attempt.exchange](http1::call_result outcome)
         {
-            this->core.requests().finish_attempt(
-                monotonic_now(), id, *call,
-                this->codec.decode_attempt(std::move(outcome)));
+            gateway::attempt_result result =
+                this->codec.decode_attempt(std::move(outcome));
+            if (result.evidence)
+                this->metrics.count_upstream_refusal(*result.evidence);
+            this->core.requests().finish_attempt(monotonic_now(), id, *call,
+                                                 std::move(result));
         });
     return *call;
 }
--- a/pistachiospan/edge/internal/metrics.hpp
+++ b/pistachiospan/edge/internal/metrics.hpp
@@ -26,6 +26,8 @@
     void count(const gateway::record& decision);
     // Counts a read of a table, from the store or from another VM.
     void count_read(std::string_view table, bool from_store, bool succeeded);
+    // Counts a refusal of an upstream by what shows that it has not run the request.
+    void count_upstream_refusal(const gateway::refusal_evidence& evidence);
     // Counts a refusal with which an upstream requested a pause.
     void count_pause();
     // Counts a change of the request limit that an upstream names.
@@ -45,6 +47,7 @@
     prometheus::Family<prometheus::Counter>& requests;
     prometheus::Family<prometheus::Histogram>& latency;
     prometheus::Family<prometheus::Counter>& reads;
+    prometheus::Family<prometheus::Counter>& upstream_refusals;
     prometheus::Counter& pauses;
     prometheus::Counter& limits;
     prometheus::Family<prometheus::Gauge>& gauges;
--- a/pistachiospan/edge/metrics.cpp
+++ b/pistachiospan/edge/metrics.cpp
@@ -2,6 +2,9 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+#include <array>
+
 namespace pistachiospan::edge::internal
 {
 
@@ -11,6 +14,14 @@
 // Routes that have their own histogram; further ones share the label "other".
 constexpr std::size_t max_routes = 64;
 
+// Statuses with which upstreams refuse requests; others share the label "other".
+std::string status_label(int status)
+{
+    static constexpr std::array<int, 5> statuses = {400, 408, 421, 429, 503};
+    return std::ranges::find(statuses, status) == statuses.end() ? "other"
+                                                                 : std::to_string(status);
+}
+
 prometheus::Histogram::BucketBoundaries latency_buckets()
 {
     return {0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4}; // seconds
@@ -31,6 +42,11 @@
                 .Name("pistachiospan_table_reads_total")
                 .Help("Reads of the store's tables by table, source and outcome")
                 .Register(this->registry)),
+      upstream_refusals(prometheus::BuildCounter()
+                            .Name("pistachiospan_upstream_refusals_total")
+                            .Help("Refusals of upstreams as not run by status, header, "
+                                  "request id and connection")
+                            .Register(this->registry)),
       pauses(prometheus::BuildCounter()
                  .Name("pistachiospan_upstream_pauses_total")
                  .Help("Refusals in which an upstream asked for no work for a while")
@@ -83,6 +99,16 @@
         .Increment();
 }
 
+void metrics::count_upstream_refusal(const gateway::refusal_evidence& evidence)
+{
+    this->upstream_refusals
+        .Add({{"status", status_label(evidence.status)},
+              {"header", evidence.has_header ? "yes" : "no"},
+              {"request_id", evidence.has_request_id ? "yes" : "no"},
+              {"connection", evidence.is_first_answer ? "new" : "kept"}})
+        .Increment();
+}
+
 void metrics::count_pause()
 {
     this->pauses.Increment();
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -31,6 +31,11 @@
     return upstreams::outcome::broken;
 }
 
+bool reports_not_run(attempt_outcome outcome)
+{
+    return outcome == attempt_outcome::not_run || outcome == attempt_outcome::misdirected;
+}
+
 std::string describe(const allowance::admission& refused,
                      const configuration::account& account)
 {
@@ -374,13 +379,13 @@
     {
     case attempt_outcome::answered:
         if (idempotent && result.status >= first_server_error &&
-            this->retry(now, exchange, pending, false))
+            this->retry(now, exchange, pending, result))
             return;
         this->deliver(now, exchange, pending, result);
         return;
     case attempt_outcome::not_run:
     case attempt_outcome::misdirected:
-        if (!this->retry(now, exchange, pending, true))
+        if (!this->retry(now, exchange, pending, result))
             this->give_up(now, exchange, pending, refusal::upstream_full, result.detail);
         return;
     case attempt_outcome::not_sent:
@@ -398,7 +403,7 @@
     case attempt_outcome::broken:
         pending.may_have_run = true;
         if (!idempotent || !this->may_send_again(exchange, pending, result) ||
-            !this->retry(now, exchange, pending, false))
+            !this->retry(now, exchange, pending, result))
             this->give_up(now, exchange, pending, refusal::unknown_outcome,
                           result.detail);
         return;
@@ -432,10 +437,11 @@
 // Sends the request to another upstream if route, time and retry budget allow it. Call
 // only for requests that may run twice or were not run. Returns false if it was not sent.
 bool gateway::retry(time_point now, exchange_id exchange, pending_request& pending,
-                    bool not_run)
+                    const attempt_result& failed)
 {
     if (pending.attempts >= pending.route->max_attempts)
         return false;
+    const bool not_run = reports_not_run(failed.outcome);
     const retry::decision decision =
         this->policy_of(pending.service)
             // Callers pass only requests that are idempotent or were not run.
@@ -449,8 +455,7 @@
         return false;
     pending.holds_retry = true;
     pending.excluded.push_back(pending.upstream);
-    this->report(now, "retried", pending, refusal::none, 0,
-                 not_run ? "not run" : "failed or broken");
+    this->report(now, "retried", pending, refusal::none, failed.status, failed.detail);
     this->dispatch(now, exchange, pending);
     return true;
 }
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -71,12 +71,22 @@
     timed_out,   // no answer within the attempt's time; it may have run
 };
 
+// What shows that an upstream has not run a request, for logs and metrics.
+struct refusal_evidence
+{
+    int status = 0;
+    bool has_header = false; // the header that states it
+    bool has_request_id = false;
+    bool is_first_answer = false; // on its connection
+};
+
 struct attempt_result
 {
     attempt_outcome outcome = attempt_outcome::broken;
     int status = 0;     // answered
     std::any answer;    // answered: passed unchanged to gateway_hooks::deliver
     std::string detail; // cause of a failure, for logs
+    std::optional<refusal_evidence> evidence; // not_run, misdirected
     // broken: the upstream's side closed or reset the connection.
     bool connection_lost = false;
     std::optional<upstreams::load_report> load;
@@ -353,7 +363,7 @@
                        const attempt_result& result);
     void report_ends(time_point now, const std::vector<quarantine::upstream_end>& ended);
     bool retry(time_point now, exchange_id exchange, pending_request& pending,
-               bool not_run);
+               const attempt_result& failed);
     void deliver(time_point now, exchange_id exchange, pending_request& pending,
                  attempt_result& result);
     void refuse(time_point now, exchange_id exchange, const pending_request& pending,
--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -105,8 +105,8 @@
         bool connected = false;
         bool invalid_address = false;      // the address can't be parsed
         bool expects_no_body = false;      // the call is a HEAD request
-        bool has_served_call = false;      // a call has ended on it
         bool final_read_done = false;      // the call has had its final_read_timeout
+        std::uint32_t call_count = 0;      // calls sent on it, with the present one
         std::size_t received = 0;          // bytes received in this call
         std::size_t skipped_responses = 0; // in this call
         std::size_t buffered_bytes = 0;    // bytes of the body, included in the total
@@ -185,6 +185,7 @@
     if (conn == nullptr)
         conn = &this->connect(address);
     conn->call = call;
+    ++conn->call_count;
     conn->done = std::move(done);
     conn->deadline = monotonic_now() + timeouts.timeout;
     conn->unsent_request = this->serialize_request(outgoing, address);
@@ -396,7 +397,7 @@
     const std::string* id =
         find_header(conn.parser.headers, this->options.correlation_header);
     if (id == nullptr)
-        return conn.parser.status >= first_error_status && !conn.has_served_call &&
+        return conn.parser.status >= first_error_status && conn.call_count == 1 &&
                conn.skipped_responses == 0;
     return *id == conn.correlation;
 }
@@ -406,6 +407,8 @@
     call_result outcome{.end = call_end::answered};
     const bool keep_alive = conn.parser.keep_alive();
     outcome.answer.status = conn.parser.status;
+    outcome.has_correlation =
+        find_header(conn.parser.headers, this->options.correlation_header) != nullptr;
     outcome.answer.headers = std::move(conn.parser.headers);
     outcome.answer.body = std::move(conn.parser.body);
     bufferevent* socket = conn.socket.get();
@@ -450,10 +453,10 @@
 {
     this->calls.erase(conn.call);
     this->update_buffered(conn, 0);
+    outcome.call_number = conn.call_count;
     this->finished_calls.push_back({conn.call, std::move(conn.done), std::move(outcome)});
     event_active(this->deliver_event.get(), 0, 0);
     conn.call = 0;
-    conn.has_served_call = true;
     const std::optional<duration> advertised =
         keep_alive_time(this->finished_calls.back().outcome.answer.headers);
     const duration max_idle_time = advertised.value_or(std::chrono::seconds(4));
--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -142,7 +142,9 @@
     response answer;
     // broken: the server closed or reset the connection.
     bool closed_by_server = false;
-    std::string detail; // the cause of a failure, for logs
+    bool has_correlation = false;  // answered: the answer carries the request's id
+    std::uint32_t call_number = 0; // of this call on its connection, from 1
+    std::string detail;            // the cause of a failure, for logs
 };
 
 using call_handler = std::function<void(call_result)>;
