--- a/pistachiospan/http1/http1_test.cpp
+++ b/pistachiospan/http1/http1_test.cpp
@@ -302,6 +302,33 @@
     }
 }
 
+// Guards against a second copy of a response that is taken for the response to the same
+// request when it is sent again: its id is the same.
+BOOST_AUTO_TEST_CASE(request_that_is_sent_again_uses_another_connection)
+{
+    const std::string refusal =
+        "HTTP/1.1 421 Misdirected\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
+    loop events;
+    raw_peer peer(events.base.get(), refusal, false);
+    http1::client client(events.base.get(), {.correlation_header = "Id"});
+    std::optional<http1::call_result> outcome;
+    const auto done = [&](http1::call_result result)
+    {
+        outcome = std::move(result);
+    };
+    client.send(raw_address, get("1"), {.timeout = 300ms}, done);
+    events.run([&] { return outcome.has_value(); });
+    BOOST_TEST(outcome->answer.status == 421);
+    outcome.reset();
+    bufferevent_write(peer.open.front().get(), refusal.data(), refusal.size());
+    peer.bytes = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nown";
+    client.send(raw_address, get("1"), {.timeout = 300ms}, done);
+    events.run([&] { return outcome.has_value(); });
+    BOOST_TEST((outcome->end == http1::call_end::answered));
+    BOOST_TEST(outcome->answer.status == 200);
+    BOOST_TEST(outcome->answer.body == "own");
+}
+
 // Guards against a response that is read as one without a body because the request before
 // it on the connection was a HEAD request.
 BOOST_AUTO_TEST_CASE(response_after_a_head_request_has_its_body)
