Send a request again on a connection that has not carried it

What callers saw: an order was refused with 503, which promises that it has not run, and ran.

Cause: answers are matched to requests by the request id. An attempt after a refusal bears the same id, and where another entry of the registry names the same address (an upstream that has restarted under a new id, until its old entry lapses), it went by the connection of the refusal. A second copy of the refusal, which a faulty upstream may send late, was taken for the answer to the new attempt.

Evidence: the log of a trial with real processes shows 421 of the old id, the attempt at the new id at the same address, and 421 again, in all of 15 cases.

Change: the client remembers the ids that a connection has carried, and sends a request with one of them by another connection. A connection is not reused after 1000 calls, which bounds what is remembered. So an id names one call of its connection, whatever a later attempt, entry or caller does.

request_and_response_arrive_unchanged sent three requests with one id and expected one connection; the requests have ids of their own now, and the expectation stays.

--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -7,7 +7,9 @@
 #include <event2/bufferevent.h>
 #include <sys/ioctl.h>
 
+#include <algorithm>
 #include <cstring>
+#include <ranges>
 #include <unordered_map>
 #include <utility>
 
@@ -35,6 +37,9 @@
 // responses.
 constexpr std::size_t max_overhead = std::size_t{1} << 20U;
 
+// Calls after which a connection is not reused. Bounds the ids that it remembers.
+constexpr std::size_t max_calls_per_connection = 1000;
+
 // A server closes an idle connection after the time that it advertises. A request sent
 // just before that is lost, so the client stops using the connection this much earlier.
 constexpr duration keep_alive_margin = std::chrono::seconds(1);
@@ -90,6 +95,20 @@
         {
         }
 
+        // Whether a request with this correlation id was sent on it. A late copy of the
+        // response to that one could not be told from the response to this one.
+        bool has_carried(std::string_view correlation_id) const
+        {
+            return !correlation_id.empty() &&
+                   std::ranges::find(this->carried, hash_bytes(correlation_id)) !=
+                       this->carried.end();
+        }
+
+        bool is_first_call() const
+        {
+            return this->carried.size() == 1;
+        }
+
         implementation& owner;
         std::uint64_t id;
         std::string address;
@@ -99,6 +118,8 @@
         call_id call = 0;     // 0: idle
         call_handler done;
         std::string correlation;
+        // Hashes of the correlation ids of all calls, with the present one.
+        std::vector<std::uint64_t> carried;
         time_point deadline;
         time_point idle_since;
         std::string unsent_request; // the request, until the connection is open
@@ -106,7 +127,6 @@
         bool invalid_address = false;      // the address can't be parsed
         bool expects_no_body = false;      // the call is a HEAD request
         bool final_read_done = false;      // the call has had its final_read_timeout
-        std::uint32_t call_count = 0;      // calls sent on it, with the present one
         std::size_t received = 0;          // bytes received in this call
         std::size_t skipped_responses = 0; // in this call
         std::size_t buffered_bytes = 0;    // bytes of the body, included in the total
@@ -116,7 +136,8 @@
     static void on_event(bufferevent*, short what, void* user);
 
     void handle_event(connection& conn, short what);
-    connection* take_idle_connection(const std::string& address, duration max_idle);
+    connection* take_idle_connection(const std::string& address, duration max_idle,
+                                     std::string_view correlation_id);
     connection& connect(const std::string& address);
     std::string serialize_request(const request& outgoing,
                                   const std::string& address) const;
@@ -181,11 +202,15 @@
                                      const call_options& timeouts, call_handler done)
 {
     const call_id call = ++this->last_id;
-    connection* conn = this->take_idle_connection(address, timeouts.max_idle_time);
+    const std::string correlation =
+        header_value(outgoing.headers, this->options.correlation_header);
+    connection* conn =
+        this->take_idle_connection(address, timeouts.max_idle_time, correlation);
     if (conn == nullptr)
         conn = &this->connect(address);
     conn->call = call;
-    ++conn->call_count;
+    conn->correlation = correlation;
+    conn->carried.push_back(hash_bytes(correlation));
     conn->done = std::move(done);
     conn->deadline = monotonic_now() + timeouts.timeout;
     conn->unsent_request = this->serialize_request(outgoing, address);
@@ -194,10 +219,6 @@
     conn->skipped_responses = 0;
     conn->expects_no_body = outgoing.method == "HEAD";
     expect_response(*conn);
-    conn->correlation.clear();
-    if (const std::string* id =
-            find_header(outgoing.headers, this->options.correlation_header))
-        conn->correlation = *id;
     this->calls.emplace(call, conn);
     this->start(*conn, timeouts);
     return call;
@@ -218,20 +239,26 @@
                          : std::min(timeouts.timeout, timeouts.connect_timeout));
 }
 
-client::implementation::connection*
-client::implementation::take_idle_connection(const std::string& address,
-                                             duration max_idle)
+client::implementation::connection* client::implementation::take_idle_connection(
+    const std::string& address, duration max_idle, std::string_view correlation_id)
 {
+    const auto found = this->idle_connections.find(address);
+    if (found == this->idle_connections.end())
+        return nullptr;
     const time_point now = monotonic_now();
-    while (this->idle_connections.contains(address) &&
-           !this->idle_connections[address].empty())
+    // A copy, because close() changes the list.
+    const std::vector<connection*> candidates = found->second;
+    for (connection* conn : std::views::reverse(candidates))
     {
-        connection* conn = this->idle_connections[address].back();
-        this->idle_connections[address].pop_back();
+        if (conn->has_carried(correlation_id))
+            continue;
         const bool input_empty =
             evbuffer_get_length(bufferevent_get_input(conn->socket.get())) == 0;
         if (input_empty && now - conn->idle_since <= max_idle)
+        {
+            std::erase(found->second, conn);
             return conn;
+        }
         this->close(*conn);
     }
     return nullptr;
@@ -397,7 +424,7 @@
     const std::string* id =
         find_header(conn.parser.headers, this->options.correlation_header);
     if (id == nullptr)
-        return conn.parser.status >= first_error_status && conn.call_count == 1 &&
+        return conn.parser.status >= first_error_status && conn.is_first_call() &&
                conn.skipped_responses == 0;
     return *id == conn.correlation;
 }
@@ -453,7 +480,7 @@
 {
     this->calls.erase(conn.call);
     this->update_buffered(conn, 0);
-    outcome.call_number = conn.call_count;
+    outcome.is_first_on_connection = conn.is_first_call();
     this->finished_calls.push_back({conn.call, std::move(conn.done), std::move(outcome)});
     event_active(this->deliver_event.get(), 0, 0);
     conn.call = 0;
@@ -471,7 +498,8 @@
 void client::implementation::keep_for_reuse(connection& conn, duration max_idle_time)
 {
     std::vector<connection*>& same_address = this->idle_connections[conn.address];
-    if (same_address.size() >= this->options.max_idle_connections)
+    if (same_address.size() >= this->options.max_idle_connections ||
+        conn.carried.size() >= max_calls_per_connection)
     {
         this->close(conn);
         return;
--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -142,9 +142,9 @@
     response answer;
     // broken: the server closed or reset the connection.
     bool closed_by_server = false;
-    bool has_correlation = false;  // answered: the answer carries the request's id
-    std::uint32_t call_number = 0; // of this call on its connection, from 1
-    std::string detail;            // the cause of a failure, for logs
+    bool has_correlation = false;        // answered: the answer carries the request's id
+    bool is_first_on_connection = false; // no call was sent on its connection before
+    std::string detail;                  // the cause of a failure, for logs
 };
 
 using call_handler = std::function<void(call_result)>;
@@ -160,8 +160,9 @@
 struct client_options
 {
     // Header that the server copies from the request to the response. A response with
-    // another value belongs to an earlier request and is dropped. If empty, responses
-    // aren't checked.
+    // another value belongs to an earlier request and is dropped. A request that is sent
+    // again with the same value gets another connection. If empty, responses aren't
+    // checked.
     std::string correlation_header;
     std::size_t max_response_body = std::size_t{16}
                                     << 20U; // bytes of one response's body
--- a/pistachiospan/http1/http1_test.cpp
+++ b/pistachiospan/http1/http1_test.cpp
@@ -132,8 +132,10 @@
         {.on_request = [&](http1::exchange_id id, http1::request&& incoming)
          {
              received_request = std::move(incoming);
+             const std::string echoed =
+                 http1::header_value(received_request.headers, "Id");
              server_ptr->respond(id, {.status = 201,
-                                      .headers = {{"Id", "7"}, {"A", "b"}},
+                                      .headers = {{"Id", echoed}, {"A", "b"}},
                                       .body = received_request.body});
          }});
     server_ptr = &server;
@@ -145,7 +147,7 @@
         client.send(server_address,
                     {.method = "POST",
                      .target = "/a/b?c=d",
-                     .headers = {{"Id", "7"}},
+                     .headers = {{"Id", std::to_string(each)}},
                      .body = body},
                     {.timeout = 1s},
                     [&](http1::call_result result)
