Take only an upstream's header as a statement that it has not run a request

Cause: the status 421 was taken for a statement by itself, and the header in any answer.

Change: only the header counts, and only in an answer that reports a failure. A 421 without it ejects the upstream as before, for its address is wrong, and counts as an answer that was lost.

--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -24,7 +24,8 @@
     case attempt_outcome::not_sent:
         return upstreams::outcome::not_sent;
     case attempt_outcome::broken:
-        return upstreams::outcome::broken;
+        return result.is_misdirected ? upstreams::outcome::misdirected
+                                     : upstreams::outcome::broken;
     case attempt_outcome::timed_out:
         return upstreams::outcome::timed_out;
     }
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -65,7 +65,8 @@
 {
     answered,    // complete answer
     not_run,     // the upstream reports that it did not run the request
-    misdirected, // another upstream uses the address now; not run
+    misdirected, // another upstream uses the address now, and reports that it did not run
+                 // the request
     not_sent,    // no byte of the request was written
     broken,      // incomplete answer or none; it may have run
     timed_out,   // no answer within the attempt's time; it may have run
@@ -89,6 +90,8 @@
     std::optional<refusal_evidence> evidence; // not_run, misdirected
     // broken: the upstream's side closed or reset the connection.
     bool connection_lost = false;
+    // broken: another upstream uses the address now, and may have run the request.
+    bool is_misdirected = false;
     std::optional<upstreams::load_report> load;
     std::optional<duration> cold_left;
     bool leaving = false;          // the upstream reports that it stops soon
