Drop the trailer fields of a message

What callers could see: an order that an upstream had run was refused with 503 because the answer to it bore the not-run header in a trailer; a field of a trailer reached the caller as a header field.

Cause: the parser added the fields after a chunked body to the headers.

Change: they are dropped, and still count towards the size of the headers.

--- a/pistachiospan/http1/http1_test.cpp
+++ b/pistachiospan/http1/http1_test.cpp
@@ -331,6 +331,19 @@
     BOOST_TEST(outcome->answer.body == "own");
 }
 
+// Guards against fields of a trailer that are taken for header fields: they come after
+// the body, and no header says what they mean.
+BOOST_AUTO_TEST_CASE(trailer_fields_are_no_header_fields)
+{
+    const http1::call_result outcome =
+        call_raw("HTTP/1.1 200 OK\r\nId: 7\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "2\r\nok\r\n0\r\nA: c\r\nSecond: d\r\n\r\n");
+    BOOST_TEST((outcome.end == http1::call_end::answered));
+    BOOST_TEST(outcome.answer.body == "ok");
+    BOOST_TEST(http1::header_value(outcome.answer.headers, "A") == "b");
+    BOOST_TEST(http1::find_header(outcome.answer.headers, "Second") == nullptr);
+}
+
 // Guards against a response that is read as one without a body because the request before
 // it on the connection was a HEAD request.
 BOOST_AUTO_TEST_CASE(response_after_a_head_request_has_its_body)
--- a/pistachiospan/http1/internal/parser.hpp
+++ b/pistachiospan/http1/internal/parser.hpp
@@ -81,6 +81,7 @@
     }
     static const http_parser_settings& settings();
     int count_header(std::size_t size);
+    bool in_trailer() const;
     void check_result(std::size_t consumed, std::size_t available);
 
     http_parser_type type;
--- a/pistachiospan/http1/parser.cpp
+++ b/pistachiospan/http1/parser.cpp
@@ -160,9 +160,18 @@
     return owner_of(raw).count_header(size);
 }
 
+// Fields after the body. They are dropped, because they must not be taken for header
+// fields.
+bool parser::in_trailer() const
+{
+    return this->current_state == parse_state::body;
+}
+
 int parser::on_field(http_parser* raw, const char* data, std::size_t size)
 {
     parser& owner = owner_of(raw);
+    if (owner.in_trailer())
+        return owner.count_header(size);
     if (owner.last_was_value || owner.headers.empty())
         owner.headers.emplace_back();
     owner.last_was_value = false;
@@ -173,6 +182,8 @@
 int parser::on_value(http_parser* raw, const char* data, std::size_t size)
 {
     parser& owner = owner_of(raw);
+    if (owner.in_trailer())
+        return owner.count_header(size);
     owner.last_was_value = true;
     owner.headers.back().value.append(data, size);
     return owner.count_header(size);
