Deliver the failure of an earlier attempt instead of refusing as not run

What callers saw: a request that may run twice was answered 500 by one upstream and refused with 503, which promises that it has not run, because no other upstream took it; its account got the token back.

Cause: an answer that reports a failure leads to another attempt, and was forgotten. Only attempts without an answer counted as "may have run".

Change: the failure is kept while another upstream is tried, and delivered if no later attempt is answered. The token stays used, and a retry that was charged and not sent is given back.

Evidence: failed_answer_is_delivered_if_no_other_attempt_is_answered failed before.

--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -379,10 +379,15 @@
     switch (result.outcome)
     {
     case attempt_outcome::answered:
-        if (idempotent && result.status >= first_server_error &&
-            this->retry(now, exchange, pending, result))
+        if (!idempotent || result.status < first_server_error)
+        {
+            this->deliver(now, exchange, pending, std::move(result), {});
             return;
-        this->deliver(now, exchange, pending, result);
+        }
+        pending.may_have_run = true;
+        pending.failed_answer = std::move(result);
+        if (!this->retry(now, exchange, pending, *pending.failed_answer))
+            this->deliver(now, exchange, pending, std::move(*pending.failed_answer), {});
         return;
     case attempt_outcome::not_run:
     case attempt_outcome::misdirected:
@@ -461,10 +466,12 @@
     return true;
 }
 
-void gateway::deliver(time_point now, exchange_id exchange, pending_request& pending,
-                      attempt_result& result)
+void gateway::deliver(time_point now, exchange_id exchange,
+                      const pending_request& pending, attempt_result result,
+                      std::string_view detail)
 {
-    this->report(now, "answered", pending, refusal::none, result.status, {});
+    this->report(now, "answered", pending, refusal::none, result.status, detail);
+    this->return_retry(now, pending);
     this->requests.erase(exchange);
     this->hooks.deliver(exchange, std::move(result.answer));
 }
@@ -491,12 +498,18 @@
     return true;
 }
 
-// Refuses a request that no upstream answered. Marks it as not run, and returns its
-// token, only if no upstream can have run it.
-void gateway::give_up(time_point now, exchange_id exchange,
-                      const pending_request& pending, refusal reason,
-                      std::string_view detail)
+// Refuses a request that no upstream answered, or delivers the failure that an earlier
+// attempt was answered with. Marks a refused request as not run, and returns its token,
+// only if no upstream can have run it.
+void gateway::give_up(time_point now, exchange_id exchange, pending_request& pending,
+                      refusal reason, std::string_view detail)
 {
+    if (pending.failed_answer)
+    {
+        this->deliver(now, exchange, pending, std::move(*pending.failed_answer),
+                      name_of(reason));
+        return;
+    }
     if (reason == refusal::no_upstream && !pending.may_have_run &&
         this->forward(now, exchange, pending))
         return;
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -332,6 +332,8 @@
         time_point sent_at;
         call_id call = 0;
         bool may_have_run = false;
+        // A failure that an upstream answered with, while another one is tried.
+        std::optional<attempt_result> failed_answer;
         upstreams::selection chosen;
         bool caller_gone = false;
         token_wait waits_for = token_wait::none;
@@ -367,11 +369,11 @@
     void report_ends(time_point now, const std::vector<quarantine::upstream_end>& ended);
     bool retry(time_point now, exchange_id exchange, pending_request& pending,
                const attempt_result& failed);
-    void deliver(time_point now, exchange_id exchange, pending_request& pending,
-                 attempt_result& result);
+    void deliver(time_point now, exchange_id exchange, const pending_request& pending,
+                 attempt_result result, std::string_view detail);
     void refuse(time_point now, exchange_id exchange, const pending_request& pending,
                 const refusal_answer& answer, std::string_view detail = {});
-    void give_up(time_point now, exchange_id exchange, const pending_request& pending,
+    void give_up(time_point now, exchange_id exchange, pending_request& pending,
                  refusal reason, std::string_view detail);
     void report(time_point now, std::string_view event, const pending_request& pending,
                 refusal reason, int status, std::string_view detail) const;
--- a/pistachiospan/gateway/gateway_test.cpp
+++ b/pistachiospan/gateway/gateway_test.cpp
@@ -237,6 +237,32 @@
     BOOST_TEST(other.refused.front().retry_after.count() > 0);
 }
 
+// Guards against a request that an upstream has answered with a failure and that is then
+// refused as not run, with its token returned, because no other upstream takes it.
+BOOST_AUTO_TEST_CASE(failed_answer_is_delivered_if_no_other_attempt_is_answered)
+{
+    for (const attempt_outcome second :
+         {attempt_outcome::not_run, attempt_outcome::misdirected,
+          attempt_outcome::not_sent, attempt_outcome::broken, attempt_outcome::timed_out})
+    {
+        fixture test;
+        test.submit(1, "/read/1", "small");
+        test.end(1, attempt_outcome::answered, 500);
+        BOOST_TEST_REQUIRE(test.sent.size() == 2U);
+        test.end(1, second);
+        BOOST_TEST(test.refused.empty());
+        BOOST_TEST_REQUIRE(test.delivered.size() == 1U);
+        BOOST_TEST(test.delivered.front() == 500);
+        BOOST_TEST(!test.allowances.admit(test.now, "small").admitted);
+    }
+    fixture alone;
+    alone.submit(1, "/read/1");
+    alone.known.remove(alone.sent.front().upstream == "u1" ? "u2" : "u1");
+    alone.end(1, attempt_outcome::answered, 500);
+    BOOST_TEST(alone.delivered.size() == 1U);
+    BOOST_TEST((alone.requests.retry_totals(alone.now).at("orders").credit == 1));
+}
+
 // Guards against more attempts for one request than its route allows.
 BOOST_AUTO_TEST_CASE(attempts_are_bounded)
 {
