Let upstreams of the soak restart under new ids and answer twice

The summary counts the answers that promise "not run" by status and reason, and a broken promise names the VM.

--- a/tools/soak/fault_proxy.cpp
+++ b/tools/soak/fault_proxy.cpp
@@ -74,6 +74,20 @@
     of.owner->move(of, of.far.get(), of.near.get(), true);
 }
 
+void fault_proxy::add_copy(pair& of, evbuffer* input)
+{
+    const std::size_t before = of.copy.size();
+    const std::size_t size = evbuffer_get_length(input);
+    of.copy.resize(before + size);
+    evbuffer_copyout(input, of.copy.data() + before, size);
+}
+
+void fault_proxy::send_copy(pair& of)
+{
+    bufferevent_write(of.near.get(), of.copy.data(), of.copy.size());
+    of.copy.clear();
+}
+
 void fault_proxy::move(pair& of, bufferevent* from, bufferevent* to, bool from_far)
 {
     evbuffer* input = bufferevent_get_input(from);
@@ -85,8 +99,13 @@
         evbuffer_drain(input, evbuffer_get_length(input));
         return;
     }
-    if (this->fault != link_fault::delayed)
-        bufferevent_write_buffer(to, input);
+    if (this->fault == link_fault::delayed)
+        return;
+    if (from_far && this->repeating)
+        add_copy(of, input);
+    if (!from_far)
+        send_copy(of);
+    bufferevent_write_buffer(to, input);
 }
 
 void fault_proxy::flush()
--- a/tools/soak/fault_proxy.hpp
+++ b/tools/soak/fault_proxy.hpp
@@ -30,6 +30,12 @@
 
     // Bytes that were lost stay lost: a connection that met silence stays silent.
     void set_fault(link_fault next);
+    // The far end's bytes are sent a second time when the near end sends its next ones,
+    // as a faulty server does with its answers.
+    void set_repeating(bool next)
+    {
+        this->repeating = next;
+    }
 
 private:
     struct pair
@@ -37,6 +43,7 @@
         fault_proxy* owner = nullptr;
         http1::internal::bufferevent_ptr near;
         http1::internal::bufferevent_ptr far;
+        std::string copy;     // bytes of the far end that are to be sent again
         bool spoiled = false; // bytes were lost
     };
 
@@ -45,12 +52,15 @@
     static void on_near(bufferevent*, void* user);
     static void on_far(bufferevent*, void* user);
     static void on_event(bufferevent* from, short what, void* user);
+    static void add_copy(pair& of, evbuffer* input);
+    static void send_copy(pair& of);
     void move(pair& of, bufferevent* from, bufferevent* to, bool from_far);
     void flush();
 
     event_base* base;
     std::string target;
     link_fault fault = link_fault::none;
+    bool repeating = false;
     std::list<pair> open;
     event_loop::periodic_timer ticker;
     std::unique_ptr<evconnlistener, decltype(&evconnlistener_free)> listener;
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -39,6 +39,12 @@
 constexpr std::uint64_t limit_time_spread_ms = 4000;
 constexpr std::array<double, 3> limit_rates = {1.5, 5, 12};
 
+// Between two restarts of upstreams under new ids, and the time for which the registry
+// keeps the entry of the former one.
+constexpr duration least_identity_time = std::chrono::milliseconds(300);
+constexpr std::uint64_t identity_time_spread_ms = 1500;
+constexpr duration former_entry_time = std::chrono::seconds(3);
+
 // Of the requests after the recovery.
 constexpr double least_served = 0.95;
 
@@ -51,8 +57,9 @@
 
 soak::soak(event_base* base, soak_options given)
     : base(base), options(std::move(given)), random(this->options.seed),
-      limit_random(this->options.seed + 2), began(monotonic_now()), now(this->began),
-      store(base, this->address("0.1:18990")), callers(base, this->options.seed + 1)
+      limit_random(this->options.seed + 2), identity_random(this->options.seed + 3),
+      began(monotonic_now()), now(this->began), store(base, this->address("0.1:18990")),
+      callers(base, this->options.seed + 1)
 {
     this->put_configuration();
     for (std::size_t index = 0; index < this->options.upstreams; ++index)
@@ -305,6 +312,32 @@
         std::chrono::milliseconds(this->limit_random() % limit_time_spread_ms);
 }
 
+// An upstream restarts at its address under a new id, and answers are sent twice or no
+// longer. Entries of former ids lapse.
+void soak::change_identity()
+{
+    for (upstream_state& each : this->upstreams)
+        if (!each.former_id.empty() && this->now >= each.former_entry_until)
+            this->store.remove(std::string(names::upstream_table),
+                               std::exchange(each.former_id, {}));
+    this->next_identity_change =
+        this->now + least_identity_time +
+        std::chrono::milliseconds(this->identity_random() % identity_time_spread_ms);
+    upstream_state& at =
+        this->upstreams.at(this->identity_random() % this->upstreams.size());
+    at.link->set_repeating(this->identity_random() % 2 == 0);
+    if (!at.former_id.empty())
+        return;
+    at.former_id = std::exchange(at.id, at.id + '+' + std::to_string(++this->restarts));
+    at.former_entry_until = this->now + former_entry_time;
+    at.server->set_id(at.id);
+    at.server->set_limit(std::nullopt);
+    at.limit.name(this->now, std::nullopt);
+    at.draining_since = {};
+    this->put_entry(at);
+    this->note(at.former_id + " restarts as " + at.id);
+}
+
 void soak::disturb()
 {
     const std::size_t kind = this->pick(10);
@@ -360,6 +393,8 @@
     this->collect_processes();
     if (this->options.faults && this->now >= this->next_limit_change)
         this->change_limit();
+    if (this->options.faults && this->now >= this->next_identity_change)
+        this->change_identity();
     this->due += this->options.requests_per_second *
                  std::chrono::duration<double>(step_length).count();
     for (; this->due >= 1; this->due -= 1)
@@ -383,6 +418,7 @@
 {
     this->note("heal");
     this->next_limit_change = time_point::max();
+    this->next_identity_change = time_point::max();
     this->store_fault = platform::testing::store_fault::none;
     this->store.set_fault(this->store_fault);
     for (const auto& link : this->store_links)
@@ -397,6 +433,9 @@
     for (upstream_state& each : this->upstreams)
     {
         each.link->set_fault(link_fault::none);
+        each.link->set_repeating(false);
+        if (!each.former_id.empty())
+            this->store.remove(std::string(names::upstream_table), each.former_id);
         each.limit.note_link_change(this->now);
         each.server->set_fault(upstream_fault::none);
         each.server->set_limit(std::nullopt);
@@ -411,11 +450,9 @@
     for (const auto& [id, each] : this->callers.all())
     {
         const auto ran = this->runs.find(id);
-        const bool promised = each.status == 408 || each.status == 421 ||
-                              each.status == 429 || each.status == 503;
-        if (each.order && promised && ran != this->runs.end())
+        if (each.order && promises_not_run(each.status) && ran != this->runs.end())
             this->break_promise("order " + id + " ran and was answered " +
-                                std::to_string(each.status));
+                                std::to_string(each.status) + " by " + each.vm->name());
         if (each.status == 200 && ran == this->runs.end())
             this->break_promise("request " + id + " was answered and did not run");
     }
@@ -476,9 +513,13 @@
 std::string soak::summary() const
 {
     const auto [sent, served] = this->callers.served_since(time_point());
+    std::string refused;
+    for (const auto& [reason, count] : this->callers.refusals())
+        refused += ", " + reason + ": " + std::to_string(count);
     return std::to_string(sent) + " requests, " + std::to_string(served) + " served, " +
            std::to_string(this->happened.size()) + " events, " +
-           std::to_string(this->checked_stops) + " clean stops";
+           std::to_string(this->checked_stops) + " clean stops, " +
+           std::to_string(this->restarts) + " restarts under a new id" + refused;
 }
 
 } // namespace pistachiospan::soak
--- a/tools/soak/soak.hpp
+++ b/tools/soak/soak.hpp
@@ -57,7 +57,9 @@
         std::unique_ptr<fault_proxy> link;
         std::string id;
         std::string entry_address;
-        time_point draining_since; // the epoch: ready
+        std::string former_id;         // still has an entry; empty: none
+        time_point former_entry_until; // its entry lapses then
+        time_point draining_since;     // the epoch: ready
         limit_watch limit;
     };
 
@@ -72,6 +74,7 @@
     void change_keys();
     void change_upstream();
     void change_limit();
+    void change_identity();
     void heal();
     void put_configuration();
     void put_entry(const upstream_state& of);
@@ -90,8 +93,12 @@
     event_base* base;
     soak_options options;
     random_engine random;
-    random_engine limit_random; // its own, so that the other faults of a seed stay
+    // Their own, so that the other faults of a seed stay.
+    random_engine limit_random;
+    random_engine identity_random;
     time_point next_limit_change;
+    time_point next_identity_change;
+    std::size_t restarts = 0; // of upstreams under a new id
     time_point began;
     time_point now;
     platform::testing::store_standin store;
--- a/tools/soak/traffic.cpp
+++ b/tools/soak/traffic.cpp
@@ -12,8 +12,21 @@
 constexpr duration caller_patience = std::chrono::milliseconds(1200);
 constexpr std::uint64_t objects = 20;
 
+// The reason in the body of a daemon's refusal: the text before the colon.
+std::string reason_of(const http1::response& refusal)
+{
+    const nlohmann::json body = nlohmann::json::parse(refusal.body, nullptr, false);
+    const std::string text = body.is_object() ? body.value("error", "") : std::string();
+    return text.substr(0, text.find(':'));
+}
+
 } // namespace
 
+bool promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 traffic::traffic(event_base* base, std::uint64_t seed)
     : random(seed), callers(base, {.max_idle_connections = 8})
 {
@@ -53,6 +66,8 @@
     if (ended.end != http1::call_end::answered)
         return;
     of.status = ended.answer.status;
+    if (promises_not_run(of.status))
+        ++this->refusal_counts[std::to_string(of.status) + ' ' + reason_of(ended.answer)];
     const std::string* owner =
         http1::find_header(ended.answer.headers, platform::names::request_id);
     if (of.status == 200 && (owner == nullptr || *owner != id))
--- a/tools/soak/traffic.hpp
+++ b/tools/soak/traffic.hpp
@@ -23,6 +23,9 @@
     bool during_clean_stop = false; // the VM was in a clean stop from sending to the end
 };
 
+// Whether the status promises that the request has not run and never will.
+bool promises_not_run(int status);
+
 class traffic
 {
 public:
@@ -40,6 +43,11 @@
     {
         return this->foreign_answers;
     }
+    // Answers that promise "not run", by status and reason.
+    const std::map<std::string, std::size_t>& refusals() const
+    {
+        return this->refusal_counts;
+    }
     // Requests since `from` and those of them that were served.
     std::pair<std::size_t, std::size_t> served_since(time_point from) const;
 
@@ -51,6 +59,7 @@
     std::uint64_t last = 0;
     std::map<std::string, sent_request> requests;
     std::vector<std::string> foreign_answers;
+    std::map<std::string, std::size_t> refusal_counts;
 };
 
 } // namespace pistachiospan::soak
