Count the memory that bodies hold, not their length

Report of other operators: a faulty server sent bytes that were no answer, without end, and the machine that had called it ran out of memory. Looked for here with real processes: bytes without end in 11 places of an answer, 150 to 1,000 calls at once, a VM of 160 MB. Every call is ended and every connection reset; no process ended. But the bodies that were being read held up to three times what their bound counts: 103 to 122 MB for a bound of 40 MB, so bodies of requests and of answers together could have passed the VM's memory.

Cause: a body grows by doubling, and its length was counted.

Change: what it holds is counted.

--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -365,7 +365,7 @@
         const std::size_t consumed = conn.parser.feed(chunk);
         evbuffer_drain(input, consumed);
         conn.received += consumed;
-        this->update_buffered(conn, conn.parser.body_size());
+        this->update_buffered(conn, conn.parser.body_memory());
         const std::string_view problem = this->response_error(conn);
         if (!problem.empty())
         {
--- a/pistachiospan/http1/endless_test.cpp
+++ b/pistachiospan/http1/endless_test.cpp
@@ -2,6 +2,7 @@
 
 #include "pistachiospan/event_loop/event_loop.hpp"
 #include "pistachiospan/http1/http1.hpp"
+#include "pistachiospan/http1/internal/parser.hpp"
 #include "pistachiospan/http1/internal/socket.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -179,6 +180,19 @@
     BOOST_TEST(peer.sent < 16 * max_body);
 }
 
+// Guards against a bound on bodies that counts their length only, while they hold twice
+// as much memory.
+BOOST_AUTO_TEST_CASE(bodies_count_with_the_memory_that_they_hold)
+{
+    http1::internal::parser parser(HTTP_RESPONSE);
+    parser.feed(head + "\r\n");
+    for (int each = 0; each < 200; ++each)
+    {
+        parser.feed(std::string(1000, 'x'));
+        BOOST_TEST(parser.body_memory() >= parser.body.capacity());
+    }
+}
+
 // Guards against a response head that arrives byte by byte and keeps a call open beyond
 // its timeout.
 BOOST_AUTO_TEST_CASE(slow_head_ends_at_the_timeout)
--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -71,9 +71,10 @@
 
 struct server_limits
 {
-    std::size_t max_header = std::size_t{16} << 10U;   // bytes of a request's headers
-    std::size_t max_body = std::size_t{64} << 20U;     // bytes of a request's body
-    std::size_t max_buffered = std::size_t{64} << 20U; // bytes of all bodies together
+    std::size_t max_header = std::size_t{16} << 10U; // bytes of a request's headers
+    std::size_t max_body = std::size_t{64} << 20U;   // bytes of a request's body
+    // Bytes that all bodies together hold in memory.
+    std::size_t max_buffered = std::size_t{64} << 20U;
     // When this number is reached, the connection that has been idle longest is closed.
     std::size_t max_connections = 2000;
     duration header_timeout = std::chrono::seconds(5); // from the first byte
@@ -166,7 +167,7 @@
     std::string correlation_header;
     std::size_t max_response_body = std::size_t{16}
                                     << 20U; // bytes of one response's body
-    // Bytes of the bodies of all responses that are being read.
+    // Bytes that the bodies of all responses being read hold in memory.
     std::size_t max_buffered = std::size_t{64} << 20U;
     std::size_t max_idle_connections = 16; // to one address
 };
--- a/pistachiospan/http1/internal/parser.hpp
+++ b/pistachiospan/http1/internal/parser.hpp
@@ -58,7 +58,9 @@
     parse_error error() const;
     bool keep_alive() const;
     bool expects_continue() const;
-    std::uint64_t body_size() const;
+    // Bytes that the body holds in memory: up to twice its length, because it grows by
+    // doubling.
+    std::uint64_t body_memory() const;
 
     std::string method() const;
     std::string target;
--- a/pistachiospan/http1/parser.cpp
+++ b/pistachiospan/http1/parser.cpp
@@ -112,9 +112,9 @@
     return value != nullptr && equal_header_names(*value, "100-continue");
 }
 
-std::uint64_t parser::body_size() const
+std::uint64_t parser::body_memory() const
 {
-    return this->body.size();
+    return this->body.capacity();
 }
 
 std::string parser::method() const
--- a/pistachiospan/http1/server.cpp
+++ b/pistachiospan/http1/server.cpp
@@ -338,7 +338,7 @@
     const parse_state before = conn.parser.state();
     const std::size_t consumed = conn.parser.feed(chunk);
     evbuffer_drain(input, consumed);
-    this->update_buffered(conn, conn.parser.body_size());
+    this->update_buffered(conn, conn.parser.body_memory());
     const parse_state after = conn.parser.state();
     if (after == parse_state::failed)
     {
