--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <cstring>
-#include <ranges>
 #include <unordered_map>
 #include <utility>
 
@@ -246,9 +245,10 @@
     if (found == this->idle_connections.end())
         return nullptr;
     const time_point now = monotonic_now();
-    // A copy, because close() changes the list.
-    const std::vector<connection*> candidates = found->second;
-    for (connection* conn : std::views::reverse(candidates))
+    // A copy, because close() changes the list. The newest ones come first.
+    std::vector<connection*> candidates = found->second;
+    std::ranges::reverse(candidates);
+    for (connection* conn : candidates)
     {
         if (conn->has_carried(correlation_id))
             continue;
