Parse HTTP/1.1 strictly by RFC 9112

Cause: http1 forwards what its parser lets through. Debian builds http-parser lenient, and a coding other than chunked means "until the end of the stream" to it. Requests had the same fault.

The parser is now built on Beast's basic_parser, and http1 rejects in addition what two recipients could read differently: codings but chunked, repeated or listed lengths, a second Host, CONNECT, 101. libhttp-parser-dev is no longer needed.

--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -89,7 +89,8 @@
     struct connection
     {
         connection(implementation& owner, std::uint64_t id, std::string address)
-            : owner(owner), id(id), address(std::move(address)), parser(HTTP_RESPONSE),
+            : owner(owner), id(id), address(std::move(address)),
+              parser(internal::message_kind::response),
               timer(owner.base, [this] { this->owner.on_timeout(*this); })
         {
         }
@@ -144,7 +145,7 @@
     static void expect_response(connection& conn);
     void parse_input(connection& conn);
     void update_buffered(connection& conn, std::size_t bytes);
-    std::string_view response_error(const connection& conn) const;
+    std::string response_error(const connection& conn) const;
     void accept_response(connection& conn);
     bool is_expected_response(const connection& conn) const;
     void on_disconnect(connection& conn, short what);
@@ -366,10 +367,10 @@
         evbuffer_drain(input, consumed);
         conn.received += consumed;
         this->update_buffered(conn, conn.parser.body_memory());
-        const std::string_view problem = this->response_error(conn);
+        std::string problem = this->response_error(conn);
         if (!problem.empty())
         {
-            this->finish(conn, {.end = call_end::broken, .detail = std::string(problem)},
+            this->finish(conn, {.end = call_end::broken, .detail = std::move(problem)},
                          false);
             return;
         }
@@ -402,10 +403,10 @@
 }
 
 // Describes what is wrong with the bytes received so far; empty if they are valid.
-std::string_view client::implementation::response_error(const connection& conn) const
+std::string client::implementation::response_error(const connection& conn) const
 {
     if (conn.parser.state() == parse_state::failed)
-        return "malformed response";
+        return "malformed response: " + conn.parser.problem();
     if (conn.received > this->options.max_response_body + max_overhead ||
         conn.skipped_responses > max_skipped_responses)
         return "response too long, or too many skipped responses";
--- a/pistachiospan/http1/endless_test.cpp
+++ b/pistachiospan/http1/endless_test.cpp
@@ -184,7 +184,7 @@
 // as much memory.
 BOOST_AUTO_TEST_CASE(bodies_count_with_the_memory_that_they_hold)
 {
-    http1::internal::parser parser(HTTP_RESPONSE);
+    http1::internal::parser parser(http1::internal::message_kind::response);
     parser.feed(head + "\r\n");
     for (int each = 0; each < 200; ++each)
     {
--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -1,4 +1,4 @@
-// HTTP/1.1 server and client on a libevent loop. http-parser parses the messages; this
+// HTTP/1.1 server and client on a libevent loop. Boost.Beast parses the messages; this
 // library manages connections and their reuse, and checks the framing.
 //
 // Example:
--- a/pistachiospan/http1/internal/parser.hpp
+++ b/pistachiospan/http1/internal/parser.hpp
@@ -1,12 +1,12 @@
-// Parses a stream of bytes into HTTP/1.1 messages, one at a time.
+// Parses a stream of bytes into HTTP/1.1 messages, one at a time. What is no message by
+// RFC 9112 is an error: nothing is corrected or passed over, because a message that other
+// recipients read differently can't be forwarded safely.
 
 #ifndef PISTACHIOSPAN_HTTP1_INTERNAL_PARSER_HPP
 #define PISTACHIOSPAN_HTTP1_INTERNAL_PARSER_HPP
 
 #include "pistachiospan/http1/http1.hpp"
 
-#include <http_parser.h>
-
 namespace pistachiospan::http1::internal
 {
 
@@ -35,10 +35,17 @@
     truncated, // the stream ended inside a message
 };
 
+enum class message_kind
+{
+    request,
+    response,
+};
+
 class parser
 {
 public:
-    explicit parser(http_parser_type type);
+    explicit parser(message_kind kind);
+    ~parser();
     parser(const parser&) = delete;
     parser& operator=(const parser&) = delete;
 
@@ -56,44 +63,36 @@
 
     parse_state state() const;
     parse_error error() const;
+    // What is wrong with the message; empty unless the state is `failed`.
+    const std::string& problem() const;
     bool keep_alive() const;
     bool expects_continue() const;
     // Bytes that the body holds in memory: up to twice its length, because it grows by
     // doubling.
     std::uint64_t body_memory() const;
 
-    std::string method() const;
+    std::string method;
     std::string target;
     header_list headers;
     std::string body;
     int status = 0;
 
 private:
-    static int on_begin(http_parser* raw);
-    static int on_target(http_parser* raw, const char* data, std::size_t size);
-    static int on_field(http_parser* raw, const char* data, std::size_t size);
-    static int on_value(http_parser* raw, const char* data, std::size_t size);
-    static int on_headers(http_parser* raw);
-    static int on_body(http_parser* raw, const char* data, std::size_t size);
-    static int on_complete(http_parser* raw);
-
-    static parser& owner_of(http_parser* raw)
-    {
-        return *static_cast<parser*>(raw->data);
-    }
-    static const http_parser_settings& settings();
-    int count_header(std::size_t size);
-    bool in_trailer() const;
-    void check_result(std::size_t consumed, std::size_t available);
-
-    http_parser_type type;
-    http_parser raw_parser{};
+    class message;
+    friend class message;
+
+    std::size_t feed_held(std::string_view bytes);
+    std::size_t parse(std::string_view bytes);
+    void fail(parse_error error, std::string problem);
+
+    message_kind kind;
+    std::unique_ptr<message> current;
     parse_limits limits;
     parse_state current_state = parse_state::idle;
     parse_error current_error = parse_error::none;
-    std::size_t header_bytes = 0;
-    bool last_was_value = false;
-    bool no_body = false;
+    std::string problem_text;
+    // The begin of a head or a chunk's line whose end hasn't arrived.
+    std::string unparsed;
     bool is_keep_alive = false;
 };
 
--- a/pistachiospan/http1/server.cpp
+++ b/pistachiospan/http1/server.cpp
@@ -141,7 +141,8 @@
     struct connection
     {
         connection(implementation& owner, connection_id id, bufferevent* socket)
-            : owner(owner), id(id), socket(socket), parser(HTTP_REQUEST),
+            : owner(owner), id(id), socket(socket),
+              parser(internal::message_kind::request),
               timer(owner.base, [this] { this->owner.on_timeout(*this); })
         {
         }
@@ -380,7 +381,7 @@
     conn.exchange = ++this->last_id;
     conn.keep_alive_requested = conn.parser.keep_alive();
     this->exchanges.emplace(conn.exchange, conn.id);
-    request complete_request{.method = conn.parser.method(),
+    request complete_request{.method = std::move(conn.parser.method),
                              .target = std::move(conn.parser.target),
                              .headers = std::move(conn.parser.headers),
                              .body = std::move(conn.parser.body)};
