Read the list of connection headers once a message

Cause: the list was split anew for each field, so the work grew with the product of names and fields. It is now read once into a set of lower-case names.

--- a/pistachiospan/http1/headers.cpp
+++ b/pistachiospan/http1/headers.cpp
@@ -6,11 +6,28 @@
 #include <boost/algorithm/string/trim.hpp>
 
 #include <algorithm>
-#include <array>
 
 namespace pistachiospan::http1
 {
 
+namespace
+{
+
+char to_lower(char letter)
+{
+    const bool upper = letter >= 'A' && letter <= 'Z';
+    return upper ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
+
+std::string lower_case(std::string_view text)
+{
+    std::string lowered(text);
+    std::ranges::transform(lowered, lowered.begin(), to_lower);
+    return lowered;
+}
+
+} // namespace
+
 bool is_address(const std::string& text)
 {
     return internal::try_parse_address(text).has_value();
@@ -18,12 +35,7 @@
 
 bool equal_header_names(std::string_view left, std::string_view right)
 {
-    const auto lower = [](char letter)
-    {
-        const bool upper = letter >= 'A' && letter <= 'Z';
-        return upper ? static_cast<char>(letter - 'A' + 'a') : letter;
-    };
-    return std::ranges::equal(left, right, {}, lower, lower);
+    return std::ranges::equal(left, right, {}, to_lower, to_lower);
 }
 
 const std::string* find_header(const header_list& headers, std::string_view name)
@@ -40,25 +52,25 @@
     return value == nullptr ? std::string() : *value;
 }
 
-bool is_connection_header(const header_list& all, std::string_view name)
+connection_headers::connection_headers(const header_list& all)
+    : names{"connection", "keep-alive",       "transfer-encoding",
+            "te",         "trailer",          "upgrade",
+            "expect",     "proxy-connection", "content-length"}
 {
-    static constexpr std::array<std::string_view, 9> connection_headers = {
-        "Connection", "Keep-Alive",       "Transfer-Encoding", "TE", "Trailer", "Upgrade",
-        "Expect",     "Proxy-Connection", "Content-Length"};
-    if (std::ranges::any_of(connection_headers, [&](std::string_view each)
-                            { return equal_header_names(each, name); }))
-        return true;
     for (const header& each : all)
     {
         if (!equal_header_names(each.name, "Connection"))
             continue;
         std::vector<std::string> tokens;
         boost::algorithm::split(tokens, each.value, [](char c) { return c == ','; });
-        for (std::string& token : tokens)
-            if (equal_header_names(boost::algorithm::trim_copy(token), name))
-                return true;
+        for (const std::string& token : tokens)
+            this->names.insert(lower_case(boost::algorithm::trim_copy(token)));
     }
-    return false;
+}
+
+bool connection_headers::contains(std::string_view name) const
+{
+    return this->names.contains(lower_case(name));
 }
 
 } // namespace pistachiospan::http1
--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -19,6 +19,8 @@
 
 #include <memory>
 #include <optional>
+#include <string>
+#include <unordered_set>
 #include <vector>
 
 struct event_base;
@@ -46,10 +48,21 @@
 // True if the text is IPv4:port.
 bool is_address(const std::string& text);
 
-// True for hop-by-hop headers: those that always concern one connection only, and those
-// that `Connection` lists in `all`. Content-Length counts as one, because each side
-// frames its own bodies.
-bool is_connection_header(const header_list& all, std::string_view name);
+// The hop-by-hop headers of a message: those that always concern one connection only, and
+// those that `Connection` lists. Content-Length counts as one, because each side frames
+// its own bodies. The list is read once, so that the work for a message grows linearly
+// with its head.
+class connection_headers
+{
+public:
+    explicit connection_headers(const header_list& all);
+
+    // Compares ignoring the case of ASCII letters.
+    bool contains(std::string_view name) const;
+
+private:
+    std::unordered_set<std::string> names; // in lower case
+};
 
 struct request
 {
--- a/pistachiospan/http1/http1_test.cpp
+++ b/pistachiospan/http1/http1_test.cpp
@@ -674,9 +674,10 @@
 BOOST_AUTO_TEST_CASE(connection_headers_are_recognised)
 {
     const http1::header_list all = {{"Connection", "close, X-Hop"}, {"X-Hop", "1"}};
-    BOOST_TEST(http1::is_connection_header(all, "x-hop"));
-    BOOST_TEST(http1::is_connection_header(all, "transfer-encoding"));
-    BOOST_TEST(!http1::is_connection_header(all, "Cookie"));
+    const http1::connection_headers connection(all);
+    BOOST_TEST(connection.contains("x-hop"));
+    BOOST_TEST(connection.contains("transfer-encoding"));
+    BOOST_TEST(!connection.contains("Cookie"));
 }
 
 // Callers whose requests were refused come back on new connections and leave the old
