--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -600,9 +600,13 @@
         this->codec.decode_upstream(changed.key, changed.value);
     if (!decoded)
     {
+        // The entry is another writer's, so it says nothing about the upstream of its
+        // key.
         this->log("upstream_unreadable",
-                  {{"upstream", changed.key}, {"problem", decoded.error().message}});
-        this->remove_upstream(changed.key);
+                  {{"upstream", changed.key},
+                   {"row_version", store_version::number_of(changed.version)},
+                   {"problem", decoded.error().message}});
+        this->metrics.count_unreadable_entry();
         return;
     }
     const std::string change =
--- a/pistachiospan/edge/internal/metrics.hpp
+++ b/pistachiospan/edge/internal/metrics.hpp
@@ -32,6 +32,8 @@
     void count_pause();
     // Counts a change of the request limit that an upstream names.
     void count_limit();
+    // Counts an entry of the registry that names no upstream.
+    void count_unreadable_entry();
     // Sets the gauge of this name.
     void set(const std::string& name, double value);
     // Sets the gauges of a service's retries.
@@ -50,6 +52,7 @@
     prometheus::Family<prometheus::Counter>& upstream_refusals;
     prometheus::Counter& pauses;
     prometheus::Counter& limits;
+    prometheus::Counter& unreadable_entries;
     prometheus::Family<prometheus::Gauge>& gauges;
     prometheus::Family<prometheus::Gauge>& retries;
     std::map<std::string, prometheus::Histogram*> by_route;
--- a/pistachiospan/edge/metrics.cpp
+++ b/pistachiospan/edge/metrics.cpp
@@ -57,6 +57,11 @@
                  .Help("Changes of the request limits that upstreams name")
                  .Register(this->registry)
                  .Add({})),
+      unreadable_entries(prometheus::BuildCounter()
+                             .Name("pistachiospan_unreadable_entries_total")
+                             .Help("Entries of the registry that name no upstream")
+                             .Register(this->registry)
+                             .Add({})),
       gauges(prometheus::BuildGauge()
                  .Name("pistachiospan_state")
                  .Help("Present state of the daemon by name")
@@ -119,6 +124,11 @@
     this->limits.Increment();
 }
 
+void metrics::count_unreadable_entry()
+{
+    this->unreadable_entries.Increment();
+}
+
 void metrics::set(const std::string& name, double value)
 {
     this->gauges.Add({{"name", name}}).Set(value);
