Keep a draining upstream out of use when an older entry arrives late

An entry of the same start with a lower sequence no longer takes back draining. Other changes follow the newer row as before, so that an entry with a wrong, high sequence can't keep an upstream's own entries from being used.

upstreams_test late_entry_does_not_take_back_draining fails before and passes after.

--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -47,6 +47,16 @@
     into = into <= 0 ? sample : into * (1 - weight) + sample * weight;
 }
 
+// The store may carry out an upstream's write late, after a newer one. Only an entry that
+// would bring a draining upstream back is dropped for its age: an entry with a wrong,
+// high number must not keep an upstream out of use.
+bool takes_back_draining(const entry& registration, const entry& known)
+{
+    return known.draining && !registration.draining &&
+           registration.started == known.started &&
+           registration.sequence < known.sequence;
+}
+
 } // namespace
 
 upstream_set::upstream_set(upstream_set_options options, region_map regions)
@@ -110,6 +120,8 @@
 std::string upstream_set::update(time_point now, const entry& registration)
 {
     upstream* known = this->find(registration.id);
+    if (known != nullptr && takes_back_draining(registration, known->registration))
+        return "older entry ignored";
     if (known != nullptr &&
         (known->registration.service != registration.service ||
          known->registration.address != registration.address ||
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -45,8 +45,9 @@
     std::string data_centre;
     std::uint32_t slots = 1;
     bool draining = false;
-    duration cold_left{0};    // remaining time during which it is cold
-    std::int64_t started = 0; // identifies one start of the upstream
+    duration cold_left{0};     // remaining time during which it is cold
+    std::int64_t started = 0;  // identifies one start of the upstream
+    std::int64_t sequence = 0; // rises with each entry that it writes after one start
     bool operator==(const entry&) const = default;
 };
 
--- a/pistachiospan/upstreams/upstreams_test.cpp
+++ b/pistachiospan/upstreams/upstreams_test.cpp
@@ -82,6 +82,30 @@
     BOOST_TEST(known.select(start, again).id != third);
 }
 
+// Guards against an upstream that is used again because the store carries out its "ready"
+// after its later "draining" (DRAIN, 1 request 2.83 s after the report).
+BOOST_AUTO_TEST_CASE(late_entry_does_not_take_back_draining)
+{
+    upstreams::upstream_set known = make_set();
+    const std::string id = known.select(start, query_of("7")).id;
+    upstreams::entry draining = entry_of(id, id.substr(0, 2));
+    draining.draining = true;
+    draining.sequence = 8;
+    known.update(start, draining);
+    upstreams::entry ready = entry_of(id, id.substr(0, 2));
+    ready.sequence = 7;
+    known.update(start, ready);
+    BOOST_TEST(known.select(start, query_of("7")).id != id);
+    upstreams::entry restarted = ready;
+    restarted.sequence = 1;
+    restarted.started = 1;
+    BOOST_TEST(known.update(start, restarted) != "older entry ignored");
+    known.update(start, draining);
+    ready.sequence = 9;
+    known.update(start, ready);
+    BOOST_TEST(known.select(start + 1min, query_of("7")).id == id);
+}
+
 // Guards against an evacuation that exceeds its time bound, and against one that moves
 // the load of a data centre in one step.
 BOOST_AUTO_TEST_CASE(evacuation_is_gradual_and_in_time)
