Count a VM as told of a limit only by an answer that can reach it

The check took a VM as told 20 ms after its first request arrived, whether or not an answer could come back.

The check is replaced by one that asks whether the answer can arrive. The product is unchanged.

--- a/tools/soak/fault_proxy.hpp
+++ b/tools/soak/fault_proxy.hpp
@@ -30,6 +30,11 @@
 
     // Bytes that were lost stay lost: a connection that met silence stays silent.
     void set_fault(link_fault next);
+    // Whether bytes of the far end arrive on new connections.
+    bool passes_answers() const
+    {
+        return this->fault == link_fault::none || this->fault == link_fault::delayed;
+    }
     // The far end's bytes are sent a second time when the near end sends its next ones,
     // as a faulty server does with its answers.
     void set_repeating(bool next)
--- a/tools/soak/limit_watch.cpp
+++ b/tools/soak/limit_watch.cpp
@@ -27,12 +27,23 @@
     this->arrivals.clear();
 }
 
-std::optional<std::string> limit_watch::note_arrival(time_point now,
-                                                     const std::string& vm)
+void limit_watch::note_link_change(time_point now)
+{
+    this->link_changed_at = now;
+    std::erase_if(this->told, [now](const auto& each) { return each.second > now; });
+}
+
+std::optional<std::string>
+limit_watch::note_arrival(time_point now, const std::string& vm, bool is_answered)
 {
     if (!this->limit)
         return std::nullopt;
-    const time_point told_at = this->told.emplace(vm, now + answer_time).first->second;
+    if (is_answered)
+        this->told.emplace(vm, now + answer_time);
+    const auto found = this->told.find(vm);
+    if (found == this->told.end())
+        return std::nullopt;
+    const time_point told_at = found->second;
     const bool is_settled =
         now - this->named_at > notice && now - this->link_changed_at > notice;
     if (!is_settled || now - told_at < told_notice)
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -197,7 +197,9 @@
         this->callers.all().find(http1::header_value(seen.headers, names::request_id));
     if (found == this->callers.all().end() || !this->runs_steadily(*found->second.vm))
         return;
-    if (const auto excess = at.limit.note_arrival(this->now, found->second.vm->name()))
+    const bool is_answered = at.link->passes_answers() && at.server->answers();
+    if (const auto excess =
+            at.limit.note_arrival(this->now, found->second.vm->name(), is_answered))
         this->break_promise(at.id + ' ' + *excess);
 }
 
