--- a/pistachiospan/edge/edge.hpp
+++ b/pistachiospan/edge/edge.hpp
@@ -23,6 +23,22 @@
 namespace pistachiospan::edge
 {
 
+// Decisions that a deployment's settings switch on. While one is off, requests are
+// handled as if it did not exist.
+struct feature_set
+{
+    // Idempotent requests are passed on while earlier ones of their connection have no
+    // answer.
+    bool pipelining = false;
+    // The VMs learn together how many requests each upstream takes well.
+    bool shared_capacity = false;
+    // Accounts share the room of a service by urgency and evenly when it is short.
+    bool fair_admission = false;
+    // One account bounds all bytes that are held for callers and upstreams.
+    bool memory_budget = false;
+    bool operator==(const feature_set&) const = default;
+};
+
 struct edge_options
 {
     vm_id vm;
@@ -43,6 +59,7 @@
     duration directory_ttl = std::chrono::seconds(2);
     duration report_interval = std::chrono::milliseconds(500);
     double retry_ratio = 0.2; // retries per request of a service, over all VMs
+    feature_set features;
 };
 
 // Tables of the platform's store that the daemon replicates.
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -60,6 +60,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    // Time that work takes on the upstream's host at this moment, relative to the usual
+    // time; nullopt if the upstream does not report it.
+    std::optional<double> host_work_factor;
 };
 
 enum class outcome
