--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -115,7 +115,10 @@
 {
     if (problem.code == make_error_code(errc::stale))
     {
+        // The snapshot must come from the store, also if another source is chosen by
+        // now: a read that was forced because this VM is behind is not repeated.
         this->snapshot_needed = true;
+        this->force_store = true;
         this->next_read.start(duration(0));
         return;
     }
--- /dev/null
+++ b/pistachiospan/edge/follower_test.cpp
@@ -0,0 +1,121 @@
+// Reads of one table from the store and from another VM.
+
+#include "pistachiospan/edge/internal/follower.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <event2/event.h>
+
+using namespace pistachiospan;
+using namespace std::chrono_literals;
+using edge::table;
+using edge::internal::follower;
+using edge::internal::peer_link;
+
+namespace
+{
+
+const std::string own_address = "127.0.0.1:18991";
+const std::string peer_address = "127.0.0.1:18992";
+
+constexpr std::uint64_t old_version = 7;
+constexpr std::uint64_t new_version = 9;
+
+mirror::page page_of(std::uint64_t version)
+{
+    return {.rows = {{.key = "config", .value = "v", .version = version}},
+            .position = version};
+}
+
+mirror::table_mirror make_copy(std::uint64_t instance)
+{
+    return mirror::table_mirror({.instance = instance},
+                                {.changed = [](const mirror::row&) {},
+                                 .removed =
+                                     [](const std::string&) {
+                                     }});
+}
+
+// A VM that has read the old version from the store, and then reads from another VM,
+// whose copy stays at it. The store has the new version since and has discarded its
+// history.
+struct following_vm
+{
+    following_vm()
+        : base(event_base_new(), &event_base_free), copy(make_copy(1)),
+          peer_copy(make_copy(2)),
+          own_link(this->base.get(), own_address, this->hooks_for(this->copy)),
+          peer(this->base.get(), peer_address, this->hooks_for(this->peer_copy)),
+          store{.read_snapshot =
+                    [this](table, const edge::page_handler& done)
+                {
+                    ++this->snapshots;
+                    done(page_of(this->snapshots == 1 ? old_version : new_version));
+                },
+                .read_changes =
+                    [](table, std::uint64_t, duration, const edge::page_handler& done)
+                { done(failure(errc::stale, "history discarded; read a snapshot")); },
+                .cancel_read =
+                    [](table) {
+                    }},
+          reader(this->base.get(), {}, this->store, this->own_link, this->copy,
+                 {.choose_source = [this]
+                  { return this->snapshots == 0 ? std::string() : peer_address; },
+                  .lost = [](const error&) {},
+                  .regained = [] {},
+                  .read_finished =
+                      [](const edge::internal::read_outcome&) {
+                      }})
+    {
+        this->peer_copy.apply_snapshot(event_loop::monotonic_now(), page_of(old_version));
+        this->reader.start();
+    }
+
+    static edge::internal::peer_link_hooks hooks_for(const mirror::table_mirror& copy)
+    {
+        return {.received = [](const std::string&, std::string_view) {},
+                .copy = [&copy](table) -> const mirror::table_mirror&
+                {
+                    return copy;
+                }};
+    }
+
+    // Runs the event loop until the copy has the version, for a second at most.
+    bool reaches(std::uint64_t version)
+    {
+        const time_point end = event_loop::monotonic_now() + 1s;
+        while (this->copy.position() < version && event_loop::monotonic_now() < end)
+        {
+            event_loop::one_shot_timer wake(this->base.get(), [this]
+                                            { event_base_loopbreak(this->base.get()); });
+            wake.start(5ms);
+            event_base_dispatch(this->base.get());
+        }
+        return this->copy.position() >= version;
+    }
+
+    std::unique_ptr<event_base, decltype(&event_base_free)> base;
+    mirror::table_mirror copy;
+    mirror::table_mirror peer_copy;
+    peer_link own_link;
+    peer_link peer;
+    edge::store_access store;
+    follower reader;
+    int snapshots = 0;
+};
+
+} // namespace
+
+// Guards against a VM that stays behind because the store has discarded its history: the
+// forced read is answered as stale, and the snapshot after it is asked of the VM that is
+// behind as well. Five VMs used an old configuration for 5.7 s (CONFIG).
+BOOST_AUTO_TEST_CASE(forced_read_after_discarded_history_takes_a_snapshot)
+{
+    following_vm vm;
+    BOOST_TEST_REQUIRE(vm.reaches(old_version));
+    BOOST_TEST_REQUIRE(vm.snapshots == 1);
+    // Time to begin reading from the other VM.
+    BOOST_TEST_REQUIRE(!vm.reaches(new_version));
+    vm.reader.read_from_store_since(event_loop::monotonic_now());
+    BOOST_TEST(vm.reaches(new_version));
+    BOOST_TEST(vm.snapshots == 2);
+}
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -112,6 +112,7 @@
     // The store has come back from an older copy, as reads of the table show.
     void note_restored(table which);
     void finish_read(table which, const read_outcome& outcome);
+    void note_store_read(table which, bool succeeded);
     // False if reads of either table have failed for `follower_options::lost_after`.
     bool reaches_store(time_point now) const;
     std::string choose_source(time_point now) const;
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -115,10 +115,22 @@
     if (outcome.timed_out && which == table::upstreams)
         this->operator_rows.table_follower.restart();
     if (outcome.from_store)
-        this->last_store_try = monotonic_now();
+        this->note_store_read(which, outcome.succeeded);
     this->publish_changes();
 }
 
+void store_view::note_store_read(table which, bool succeeded)
+{
+    const time_point now = monotonic_now();
+    this->last_store_try = now;
+    followed_table& read =
+        which == table::operator_rows ? this->operator_rows : this->upstreams;
+    // The change was not fetched. While the store can be reached, catch_up() requests it
+    // again.
+    if (!succeeded && read.table_follower.reaches_store(now))
+        read.requested_change = 0;
+}
+
 void store_view::start()
 {
     if (std::exchange(this->started, true))
