Complete an answer only by its framing or an orderly close

Cause: a 200 without a length whose upstream was reset during the upload reached the caller as complete. The write takes the socket's pending error (ECONNRESET), the read that follows in the same turn of the loop reports an end of stream, and libevent delivers both as one event with both flags. The client looked at the end of stream only. Found with it: an end of stream that comes before the server has the whole request, and one that a reset follows (the read reports the end, only SO_ERROR the reset), completed an answer too. A complete early answer was lost when writing failed before it was read to its end. A connection whose request was in the socket, not yet at the server, was reused.

Change: an answer without a length is complete only if neither reading, writing nor SO_ERROR shows an error and the server's host has acknowledged the whole request (SIOCOUTQ). After a write error, what has arrived is read to its end before the call ends. The connection of an answer that began before the server had the whole request is not reused.

--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -124,10 +124,12 @@
         time_point idle_since;
         std::string unsent_request; // the request, until the connection is open
         bool connected = false;
-        bool invalid_address = false;      // the address can't be parsed
-        bool expects_no_body = false;      // the call is a HEAD request
-        bool final_read_done = false;      // the call has had its final_read_timeout
-        std::size_t received = 0;          // bytes received in this call
+        bool invalid_address = false; // the address can't be parsed
+        bool expects_no_body = false; // the call is a HEAD request
+        bool final_read_done = false; // the call has had its final_read_timeout
+        bool write_failed = false;    // the connection was lost while writing
+        bool early_response = false;  // began before the server had the whole request
+        std::size_t received = 0;     // bytes received in this call
         std::size_t skipped_responses = 0; // in this call
         std::size_t buffered_bytes = 0;    // bytes of the body, included in the total
     };
@@ -150,6 +152,7 @@
     bool is_expected_response(const connection& conn) const;
     void on_disconnect(connection& conn, short what);
     static bool has_unread_bytes(const connection& conn);
+    static bool is_request_received(const connection& conn);
     void on_timeout(connection& conn);
     void finish(connection& conn, call_result outcome, bool keep);
     void keep_for_reuse(connection& conn, duration max_idle_time);
@@ -326,15 +329,25 @@
                      false);
         return;
     }
-    // Only an orderly close may complete a response without a length; a reset must not.
-    if ((what & BEV_EVENT_EOF) != 0)
+    // A write error takes the socket's pending error, so that reading reports an orderly
+    // end. What arrived before the reset is read first: a response may be complete.
+    if ((what & BEV_EVENT_READING) == 0)
+    {
+        conn.write_failed = true;
+        return;
+    }
+    const bool was_reset =
+        conn.write_failed || (what & BEV_EVENT_ERROR) != 0 ||
+        internal::take_error(bufferevent_getfd(conn.socket.get())) != 0;
+    // Only an orderly close by a server that has the whole request completes a response
+    // without a length. A server that ends before that has failed, and its reset follows.
+    if (!was_reset && is_request_received(conn))
         conn.parser.feed_end();
     if (conn.parser.state() == parse_state::complete && this->is_expected_response(conn))
     {
         this->accept_response(conn);
         return;
     }
-    const bool was_reset = (what & BEV_EVENT_ERROR) != 0;
     this->finish(conn,
                  {.end = call_end::broken,
                   .closed_by_server = true,
@@ -363,6 +376,8 @@
         const std::string_view chunk = internal::peek(input, read_chunk_size);
         if (chunk.empty())
             return;
+        if (conn.parser.state() == parse_state::idle)
+            conn.early_response = !is_request_received(conn);
         const std::size_t consumed = conn.parser.feed(chunk);
         evbuffer_drain(input, consumed);
         conn.received += consumed;
@@ -441,9 +456,9 @@
     outcome.answer.body = std::move(conn.parser.body);
     bufferevent* socket = conn.socket.get();
     const bool input_empty = evbuffer_get_length(bufferevent_get_input(socket)) == 0;
-    // A server may respond before it has read the whole request body.
-    const bool output_empty = evbuffer_get_length(bufferevent_get_output(socket)) == 0;
-    this->finish(conn, std::move(outcome), keep_alive && input_empty && output_empty);
+    // A server that responds early may take the rest of the body for the next request.
+    this->finish(conn, std::move(outcome),
+                 keep_alive && input_empty && !conn.early_response);
 }
 
 bool client::implementation::has_unread_bytes(const connection& conn)
@@ -454,6 +469,12 @@
             unread > 0);
 }
 
+bool client::implementation::is_request_received(const connection& conn)
+{
+    return evbuffer_get_length(bufferevent_get_output(conn.socket.get())) == 0 &&
+           internal::is_all_received(bufferevent_getfd(conn.socket.get()));
+}
+
 void client::implementation::on_timeout(connection& conn)
 {
     if (conn.call == 0)
--- a/pistachiospan/http1/internal/socket.hpp
+++ b/pistachiospan/http1/internal/socket.hpp
@@ -33,6 +33,14 @@
 // Disables Nagle's algorithm, and ends the connection when the peer stops acknowledging.
 void set_socket_options(int socket);
 
+// Returns the socket's pending error, 0 if there is none, and clears it. A reset that
+// follows an end of stream is seen only here: reading reports the end of stream.
+int take_error(int socket);
+
+// Whether the peer's host has received all bytes that were written to the socket. A peer
+// that has read them all before it sends something has acknowledged them with it.
+bool is_all_received(int socket);
+
 // Makes closing the socket send a reset, which drops undelivered bytes.
 void reset_on_close(int socket);
 
--- a/pistachiospan/http1/socket.cpp
+++ b/pistachiospan/http1/socket.cpp
@@ -2,8 +2,11 @@
 
 #include <arpa/inet.h>
 #include <event2/util.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
+#include <cerrno>
 #include <stdexcept>
 
 namespace pistachiospan::http1::internal
@@ -46,6 +49,21 @@
                sizeof(max_unacknowledged_ms));
 }
 
+int take_error(int socket)
+{
+    int pending = 0;
+    socklen_t size = sizeof(pending);
+    if (getsockopt(socket, SOL_SOCKET, SO_ERROR, &pending, &size) != 0)
+        return errno;
+    return pending;
+}
+
+bool is_all_received(int socket)
+{
+    int unacknowledged = 0; // bytes
+    return ioctl(socket, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
 void reset_on_close(int socket)
 {
     const linger zero_linger{.l_onoff = 1, .l_linger = 0};
