Reject answers whose status is of no class

Cause: Beast takes any three digits for a status. 600 to 999 were passed on to callers; 000 to 099 counted as interim, so that the client waited for another answer until its deadline.

Change: the parser takes 100 to 199 (without 101) and 200 to 599. Other answers are malformed: the call ends as broken at once.

Measured: before the change, 24 forms (000, 001, 099, 600, 666 and 999 in four framings each) of 88 were not rejected as malformed; after it, all 88 are, and 48 forms of possible statuses, with and without interim answers, are passed on.

--- a/pistachiospan/http1/broken_answers_test.cpp
+++ b/pistachiospan/http1/broken_answers_test.cpp
@@ -274,6 +274,16 @@
         BOOST_TEST(played.outcome->closed_by_server);
 }
 
+// Makes one call to an upstream that answers with `bytes` and keeps its connection.
+http1::call_result call_with(const std::string& bytes)
+{
+    exchange played(upload::whole);
+    played.upload_until(upload::whole, 300ms);
+    played.upstream.write(bytes);
+    BOOST_TEST_REQUIRE(played.run([&] { return played.outcome.has_value(); }));
+    return std::move(*played.outcome);
+}
+
 } // namespace
 
 // Of 40 uploads of 6 MB to a real upstream process, 35 callers got a part of the body as
@@ -347,3 +357,47 @@
                        [](const http1::call_result&) {});
     BOOST_TEST(played.client.connections_opened() == 2U);
 }
+
+// Guards against a status that is none, or that belongs to no class, being passed on, and
+// against waiting for another answer after it until the deadline (000 and 099 did so).
+BOOST_AUTO_TEST_CASE(answers_with_an_impossible_status_are_broken_at_once)
+{
+    for (const std::string status :
+         {"0",   "00",   "000",  "001",  "099",  "101",   "600", "666",
+          "999", "1000", "2000", "0200", "20",   "2",     "-20", "+20",
+          "2x0", "2.0",  "0x2",  "",     " 200", "200200"})
+        for (const std::string fields :
+             {"Id: 7\r\nContent-Length: 0\r\n", "Id: 7\r\n",
+              "Id: 7\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 0\r\n"})
+            BOOST_TEST_CONTEXT("status \"" << status << "\", " << fields)
+            {
+                std::string bytes = "HTTP/1.1 " + status;
+                bytes += " Name\r\n" + fields + "\r\n";
+                const http1::call_result outcome = call_with(bytes);
+                BOOST_TEST((outcome.end == call_end::broken));
+                BOOST_TEST(outcome.detail.starts_with("malformed response"));
+            }
+}
+
+// Guards against final statuses that are refused because they have no name, and against
+// interim ones that are taken for final.
+BOOST_AUTO_TEST_CASE(answers_with_a_possible_status_are_passed_on)
+{
+    for (const int status : {200, 204, 226, 299, 304, 399, 404, 451, 499, 500, 503, 599})
+    {
+        const bool has_body = status != 204 && status != 304;
+        const std::string final_answer =
+            "HTTP/1.1 " + std::to_string(status) + " Name\r\nId: 7\r\n" +
+            (has_body ? "Content-Length: 2\r\n\r\nok" : "\r\n");
+        for (const std::string interim :
+             {"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early\r\nA: b\r\n\r\n",
+              "HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 199 None\r\nId: 7\r\n\r\n"})
+            BOOST_TEST_CONTEXT(status << " after \"" << interim << "\"")
+            {
+                const http1::call_result outcome = call_with(interim + final_answer);
+                BOOST_TEST((outcome.end == call_end::answered));
+                BOOST_TEST(outcome.answer.status == status);
+                BOOST_TEST(outcome.answer.body == (has_body ? "ok" : ""));
+            }
+    }
+}
--- a/pistachiospan/http1/parser.cpp
+++ b/pistachiospan/http1/parser.cpp
@@ -19,6 +19,8 @@
 
 constexpr int http_1_0 = 10;
 constexpr int switching_protocols = 101;
+constexpr int first_status = 100;
+constexpr int last_status = 599;
 
 constexpr std::uint64_t max_reserved_body = std::uint64_t{64} << 10U;
 
@@ -87,8 +89,9 @@
                           error_code& error) override
     {
         this->version = version;
-        // No request asks for another protocol, and what follows is no HTTP.
-        if (code == switching_protocols)
+        // No request asks for another protocol, and what follows is no HTTP. Other
+        // recipients read a status outside of the five classes in different ways.
+        if (code == switching_protocols || code < first_status || code > last_status)
             error = beast::http::make_error_code(beast::http::error::bad_status);
         else
             this->owner.take_status(code);
