Answer pipelined requests in order while several are in progress

Requests of one connection were served one after the other: five reads of 0.2 s, sent at once, were answered after 0.20 to 1.01 s. With the hook may_overlap, a request is passed on while earlier ones have no answer; a queue of its own keeps the order of the answers and decides which one closes the connection. Reading pauses at bounds of requests and of unread answers. A request carries the time at which its first byte arrived. Without the hook, requests are handled one at a time as before.

--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -70,6 +70,9 @@
     std::string target; // path and query
     header_list headers;
     std::string body;
+    // A server sets it: when the request's first byte was in this process. It may have
+    // waited for earlier requests of its connection since.
+    time_point received_at{};
 };
 
 struct response
@@ -92,17 +95,46 @@
     std::size_t max_connections = 2000;
     duration header_timeout = std::chrono::seconds(5); // from the first byte
     duration idle_timeout = std::chrono::seconds(30);  // between two requests
+    // Of one connection, with server_hooks::may_overlap. Beyond these, reading pauses:
+    // nothing is refused.
+    std::size_t max_pipelined = 16; // requests without an answer
+    // Bytes of answers that wait for an earlier one, or for the caller to read them.
+    std::size_t max_waiting_answers = std::size_t{256} << 10U;
+};
+
+// A connection whose reading pauses at one of its bounds.
+struct pipeline_pause
+{
+    std::size_t unanswered = 0;    // requests
+    std::size_t waiting_bytes = 0; // of answers
+};
+
+// Since the start of the process, over all connections.
+struct pipelining_counts
+{
+    std::uint64_t overlapped = 0; // requests passed on before earlier ones were answered
+    std::uint64_t held = 0; // requests that must not overlap and waited for earlier ones
+    std::uint64_t pauses = 0;        // connections that reached a bound
+    std::size_t most_unanswered = 0; // requests of one connection at the same time
 };
 
 struct server_hooks
 {
     // A complete request was received. respond() must be called once for it.
     std::function<void(exchange_id, request&&)> on_request;
-    // The caller closed its connection before the response; respond() is not needed.
+    // The caller closed its connection, or its sending side, before the response;
+    // respond() is not needed. Called for each request of the connection without one.
     std::function<void(exchange_id)> on_disconnect = nullptr;
     // Builds the response to a request that is refused before it is complete (400, 408,
     // 413, 431 or 503). Without this hook, the response has only the status.
     std::function<response(int status)> make_refusal = nullptr;
+    // Whether the request may be passed on while earlier requests of its connection have
+    // no answer. Called with the complete headers, before the body has been read. It must
+    // not call the server. Without this hook, requests of a connection are handled one at
+    // a time.
+    std::function<bool(const request&)> may_overlap = nullptr;
+    // A connection has reached one of its bounds for the first time.
+    std::function<void(const pipeline_pause&)> on_pause = nullptr;
 };
 
 class server
@@ -117,11 +149,14 @@
 
     void set_limits(const server_limits& limits);
 
-    // Sends a response. Ids whose caller has disconnected are ignored. With `close`, the
-    // connection is closed after the response.
+    // Sends a response as soon as all earlier requests of its connection have theirs. Ids
+    // whose caller has disconnected are ignored. With `close`, no further request is
+    // read, and the connection is closed after the response to the last one that was
+    // passed on.
     void respond(exchange_id exchange, const response& outgoing, bool close = false);
 
-    // From now on, each response carries `Connection: close`.
+    // From now on, the response to the last request that has been passed on closes its
+    // connection. Callers send requests behind it again.
     void begin_drain();
     // Like begin_drain(), and also stops listening. Connections that the kernel has
     // already accepted are still served.
@@ -133,6 +168,7 @@
 
     std::size_t connections() const;
     std::size_t pending() const; // requests without a response
+    pipelining_counts pipelining() const;
 
 private:
     class implementation;
--- a/pistachiospan/http1/server.cpp
+++ b/pistachiospan/http1/server.cpp
@@ -1,6 +1,9 @@
 #include "pistachiospan/event_loop/event_loop.hpp"
 #include "pistachiospan/http1/http1.hpp"
+#include "pistachiospan/http1/internal/answer_queue.hpp"
+#include "pistachiospan/http1/internal/arrival_times.hpp"
 #include "pistachiospan/http1/internal/parser.hpp"
+#include "pistachiospan/http1/internal/response_head.hpp"
 #include "pistachiospan/http1/internal/socket.hpp"
 
 #include <event2/listener.h>
@@ -41,41 +44,6 @@
 
 constexpr std::size_t read_chunk_size = std::size_t{64} << 10U;
 
-std::string_view reason_phrase(int status)
-{
-    switch (status)
-    {
-    case 200:
-        return "OK";
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 404:
-        return "Not Found";
-    case 408:
-        return "Request Timeout";
-    case 413:
-        return "Content Too Large";
-    case 421:
-        return "Misdirected Request";
-    case 429:
-        return "Too Many Requests";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 500:
-        return "Internal Server Error";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Status";
-    }
-}
-
 int status_for(parse_error problem)
 {
     switch (problem)
@@ -89,30 +57,6 @@
     }
 }
 
-bool has_no_body(int status, bool is_head_request)
-{
-    return is_head_request || status == 204 || status == 304;
-}
-
-std::string serialize_head(const response& outgoing, bool close, duration idle_timeout)
-{
-    std::string head = "HTTP/1.1 " + std::to_string(outgoing.status) + ' ';
-    head += reason_phrase(outgoing.status);
-    head += "\r\n";
-    for (const header& each : outgoing.headers)
-    {
-        head += each.name;
-        head += ": ";
-        head += each.value;
-        head += "\r\n";
-    }
-    head += "Content-Length: " + std::to_string(outgoing.body.size()) + "\r\n";
-    if (close)
-        return head + "Connection: close\r\n\r\n";
-    const auto seconds = std::chrono::floor<std::chrono::seconds>(idle_timeout).count();
-    return head + "Keep-Alive: timeout=" + std::to_string(seconds) + "\r\n\r\n";
-}
-
 } // namespace
 
 class server::implementation
@@ -134,6 +78,10 @@
     {
         return this->exchanges.size();
     }
+    pipelining_counts pipelining() const
+    {
+        return this->counts;
+    }
 
 private:
     using connection_id = std::uint64_t;
@@ -143,10 +91,25 @@
         connection(implementation& owner, connection_id id, bufferevent* socket)
             : owner(owner), id(id), socket(socket),
               parser(internal::message_kind::request),
+              answers([this](const response& due, const internal::answer_framing& framing)
+                      { this->owner.write(*this, due, framing); }),
               timer(owner.base, [this] { this->owner.on_timeout(*this); })
         {
         }
 
+        bool is_reading() const
+        {
+            return this->parser.state() == parse_state::headers ||
+                   this->parser.state() == parse_state::body;
+        }
+
+        // Bytes of answers that the caller has not got yet.
+        std::size_t waiting_bytes() const
+        {
+            return this->answers.waiting_bytes() +
+                   evbuffer_get_length(bufferevent_get_output(this->socket.get()));
+        }
+
         // True if no byte waits to be read (in the buffer or in the kernel) or written.
         bool has_no_pending_bytes() const
         {
@@ -161,13 +124,16 @@
         connection_id id;
         bufferevent_ptr socket;
         internal::parser parser;
+        internal::arrival_times arrivals;
+        internal::answer_queue answers;
         one_shot_timer timer;
-        exchange_id exchange = 0; // request without a response; 0: none
-        // Bytes of the request's body, included in the total.
+        // Bytes of the requests' bodies, included in the total.
         std::size_t buffered_bytes = 0;
-        bool is_head_request = false;
-        bool keep_alive_requested = true; // the request allows another one after it
+        time_point received_at; // the request that is being read
         bool parsing = false;
+        bool overlap_decided = false; // for the request that is being read
+        bool held = false; // the request that is being read waits for earlier answers
+        bool pause_reported = false;
         bool continue_sent = false; // 100 (Continue) was sent
         bool closing = false;       // the last response is being written
         bool idle = false;          // is in idle_list
@@ -183,16 +149,24 @@
 
     void accept(evutil_socket_t socket);
     void parse_input(connection& conn);
+    void parse_all(connection& conn);
     bool parse_chunk(connection& conn);
+    bool may_read(connection& conn);
+    bool may_proceed(connection& conn);
+    bool may_overlap(connection& conn);
+    void finish_wait(connection& conn);
+    void continue_body(connection& conn);
+    void discard_input(connection& conn);
     void dispatch_request(connection& conn);
     void refuse(connection& conn, int status);
-    void write(connection& conn, const response& outgoing, bool close);
+    void write(connection& conn, const response& outgoing,
+               const internal::answer_framing& framing);
     void on_timeout(connection& conn);
     void on_output_drained(connection& conn);
     void wait_for_request(connection& conn);
     void remove_from_idle_list(connection& conn);
     void make_room_for_connection();
-    void update_buffered(connection& conn, std::size_t bytes);
+    void update_buffered(connection& conn);
     void close(connection& conn);
 
     event_base* base;
@@ -212,6 +186,7 @@
     std::unordered_map<exchange_id, connection_id> exchanges;
     std::uint64_t last_id = 0;
     std::size_t total_buffered_bytes = 0;
+    pipelining_counts counts;
     bool draining = false;
 };
 
@@ -290,27 +265,31 @@
     conn.idle = true;
     conn.idle_since = monotonic_now();
     conn.idle_position = this->idle_list.insert(this->idle_list.end(), &conn);
-    conn.parser.set_limits(
-        {.max_header = this->limits.max_header, .max_body = this->limits.max_body});
     conn.timer.start(this->limits.idle_timeout);
 }
 
 void server::implementation::on_read(bufferevent*, void* user)
 {
     auto& conn = *static_cast<connection*>(user);
+    conn.arrivals.note(monotonic_now(),
+                       evbuffer_get_length(bufferevent_get_input(conn.socket.get())));
+    conn.owner.parse_input(conn);
+}
+
+// Parses the input as far as possible. The connection may be closed meanwhile.
+void server::implementation::parse_input(connection& conn)
+{
     if (conn.parsing)
         return;
-    implementation& owner = conn.owner;
     const connection_id id = conn.id;
-    const bool succeeded = event_loop::run_guarded([&] { owner.parse_input(conn); });
+    const bool succeeded = event_loop::run_guarded([&] { this->parse_all(conn); });
     // If handling a request threw, close without a response: the request may have run.
-    if (!succeeded && owner.open_connections.contains(id))
-        owner.close(*owner.open_connections.at(id));
+    if (!succeeded && this->open_connections.contains(id))
+        this->close(*this->open_connections.at(id));
 }
 
-// Parses the input until a request awaits its response. The hook may close the
-// connection, so it is looked up again after each request.
-void server::implementation::parse_input(connection& conn)
+// The hook may close the connection, so it is looked up again after each request.
+void server::implementation::parse_all(connection& conn)
 {
     const connection_id id = conn.id;
     conn.parsing = true;
@@ -324,28 +303,51 @@
 // Returns false if nothing more can be parsed now.
 bool server::implementation::parse_chunk(connection& conn)
 {
-    evbuffer* input = bufferevent_get_input(conn.socket.get());
-    if (conn.closing)
+    if (conn.closing || conn.answers.closes())
     {
-        evbuffer_drain(input, evbuffer_get_length(input));
+        this->discard_input(conn);
         return false;
     }
-    if (conn.exchange != 0)
-        return false;
+    evbuffer* input = bufferevent_get_input(conn.socket.get());
     const std::string_view chunk = internal::peek(input, read_chunk_size);
+    if (chunk.empty() && !conn.held && conn.parser.state() != parse_state::complete)
+        return false;
+    if (!this->may_read(conn))
+    {
+        // The caller is not to blame for the time of the pause.
+        if (conn.is_reading())
+            conn.timer.stop();
+        return false;
+    }
+    this->finish_wait(conn);
+    if (conn.parser.state() == parse_state::complete)
+    {
+        this->dispatch_request(conn);
+        return true;
+    }
     if (chunk.empty())
         return false;
     this->remove_from_idle_list(conn);
     const parse_state before = conn.parser.state();
+    if (before == parse_state::idle)
+    {
+        conn.received_at = conn.arrivals.oldest().value_or(monotonic_now());
+        conn.parser.set_limits(
+            {.max_header = this->limits.max_header, .max_body = this->limits.max_body});
+    }
     const std::size_t consumed = conn.parser.feed(chunk);
     evbuffer_drain(input, consumed);
-    this->update_buffered(conn, conn.parser.body_memory());
+    conn.arrivals.consume(consumed);
+    this->update_buffered(conn);
     const parse_state after = conn.parser.state();
     if (after == parse_state::failed)
     {
         this->refuse(conn, status_for(conn.parser.error()));
         return false;
     }
+    if ((after == parse_state::body || after == parse_state::complete) &&
+        !this->may_proceed(conn))
+        return false;
     if (after == parse_state::complete)
     {
         this->dispatch_request(conn);
@@ -356,44 +358,139 @@
         this->refuse(conn, 503);
         return false;
     }
+    if (after == parse_state::idle && !conn.answers.empty())
+        return true; // empty lines behind a request
     if (before == parse_state::idle || after == parse_state::body)
         conn.timer.start(this->limits.header_timeout);
-    if (after == parse_state::body && !conn.continue_sent &&
-        conn.parser.expects_continue())
+    if (after == parse_state::body)
+        this->continue_body(conn);
+    return true;
+}
+
+// Whether the bounds of the connection let it read more requests.
+bool server::implementation::may_read(connection& conn)
+{
+    if (!this->hooks.may_overlap)
+        return conn.answers.empty();
+    if (conn.held)
+        return conn.answers.empty();
+    const std::size_t waiting = conn.waiting_bytes();
+    if (conn.answers.unanswered() < this->limits.max_pipelined &&
+        waiting < this->limits.max_waiting_answers)
+        return true;
+    if (!std::exchange(conn.pause_reported, true))
     {
-        conn.continue_sent = true;
-        internal::append(bufferevent_get_output(conn.socket.get()),
-                         "HTTP/1.1 100 Continue\r\n\r\n");
+        ++this->counts.pauses;
+        if (this->hooks.on_pause)
+            this->hooks.on_pause(
+                {.unanswered = conn.answers.unanswered(), .waiting_bytes = waiting});
     }
-    return true;
+    return false;
+}
+
+// Whether a request whose headers are complete may be read to its end and passed on now.
+// Otherwise it is held until all earlier ones are answered, and its body is not read, so
+// that it takes no memory.
+bool server::implementation::may_proceed(connection& conn)
+{
+    if (std::exchange(conn.overlap_decided, true) || conn.answers.empty() ||
+        this->may_overlap(conn))
+        return true;
+    conn.held = true;
+    conn.timer.stop();
+    ++this->counts.held;
+    return false;
+}
+
+bool server::implementation::may_overlap(connection& conn)
+{
+    // The caller may send the body only after 100 (Continue), which must not come before
+    // the earlier answers.
+    if (conn.parser.expects_continue())
+        return false;
+    request seen{.method = std::move(conn.parser.method),
+                 .target = std::move(conn.parser.target),
+                 .headers = std::move(conn.parser.headers),
+                 .received_at = conn.received_at};
+    const bool allowed = this->hooks.may_overlap(seen);
+    conn.parser.method = std::move(seen.method);
+    conn.parser.target = std::move(seen.target);
+    conn.parser.headers = std::move(seen.headers);
+    return allowed;
+}
+
+// Ends the wait of a request for earlier answers or for a bound.
+void server::implementation::finish_wait(connection& conn)
+{
+    const bool was_held = std::exchange(conn.held, false);
+    if (!conn.is_reading() || conn.timer.is_pending())
+        return;
+    conn.timer.start(this->limits.header_timeout);
+    if (was_held)
+        this->continue_body(conn);
 }
 
-void server::implementation::update_buffered(connection& conn, std::size_t bytes)
+void server::implementation::continue_body(connection& conn)
 {
+    if (conn.continue_sent || !conn.parser.expects_continue())
+        return;
+    conn.continue_sent = true;
+    internal::append(bufferevent_get_output(conn.socket.get()),
+                     "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+// Drops what was sent behind the last request of the connection. It counts as not read.
+void server::implementation::discard_input(connection& conn)
+{
+    evbuffer* input = bufferevent_get_input(conn.socket.get());
+    evbuffer_drain(input, evbuffer_get_length(input));
+    if (!conn.closing)
+        conn.timer.stop();
+    conn.held = false;
+    conn.parser.next();
+    conn.parser.body = std::string(); // releases its memory
+    this->update_buffered(conn);
+}
+
+// Counts the bodies that are being read or wait for their answers.
+void server::implementation::update_buffered(connection& conn)
+{
+    const std::size_t bytes = conn.parser.body_memory() + conn.answers.body_bytes();
     this->total_buffered_bytes += bytes;
-    this->total_buffered_bytes -= conn.buffered_bytes;
-    conn.buffered_bytes = bytes;
+    this->total_buffered_bytes -= std::exchange(conn.buffered_bytes, bytes);
 }
 
 void server::implementation::dispatch_request(connection& conn)
 {
     conn.timer.stop();
-    conn.exchange = ++this->last_id;
-    conn.keep_alive_requested = conn.parser.keep_alive();
-    this->exchanges.emplace(conn.exchange, conn.id);
+    const exchange_id exchange = ++this->last_id;
+    if (!conn.answers.empty())
+        ++this->counts.overlapped;
+    conn.answers.add(exchange, {.is_head_request = conn.parser.method == "HEAD",
+                                .is_last = !conn.parser.keep_alive() || this->draining,
+                                .body_bytes = conn.parser.body_memory()});
+    this->counts.most_unanswered =
+        std::max(this->counts.most_unanswered, conn.answers.unanswered());
+    this->exchanges.emplace(exchange, conn.id);
     request complete_request{.method = std::move(conn.parser.method),
                              .target = std::move(conn.parser.target),
                              .headers = std::move(conn.parser.headers),
-                             .body = std::move(conn.parser.body)};
-    conn.is_head_request = complete_request.method == "HEAD";
-    this->hooks.on_request(conn.exchange, std::move(complete_request));
+                             .body = std::move(conn.parser.body),
+                             .received_at = conn.received_at};
+    conn.parser.next();
+    conn.overlap_decided = false;
+    conn.continue_sent = false;
+    this->update_buffered(conn);
+    this->hooks.on_request(exchange, std::move(complete_request));
 }
 
+// Refuses the request that is being read. It is answered in its turn and is the last one.
 void server::implementation::refuse(connection& conn, int status)
 {
     const response outgoing = this->hooks.make_refusal ? this->hooks.make_refusal(status)
                                                        : response{.status = status};
-    this->write(conn, outgoing, true);
+    conn.timer.stop();
+    conn.answers.add_refusal(outgoing, conn.parser.method == "HEAD");
 }
 
 void server::implementation::respond(exchange_id exchange, const response& outgoing,
@@ -404,26 +501,25 @@
         return;
     connection& conn = *this->open_connections.at(found->second);
     this->exchanges.erase(found);
-    conn.exchange = 0;
-    this->update_buffered(conn, 0);
-    this->write(conn, outgoing, close || !conn.keep_alive_requested || this->draining);
-    conn.parser.next();
-    conn.continue_sent = false;
+    conn.answers.put(exchange, outgoing, close);
+    this->update_buffered(conn);
     if (conn.closing)
         return;
-    this->wait_for_request(conn);
-    if (!conn.parsing)
-        this->parse_input(conn);
+    if (conn.answers.empty() && conn.parser.state() == parse_state::idle)
+        this->wait_for_request(conn);
+    this->parse_input(conn);
 }
 
-void server::implementation::write(connection& conn, const response& outgoing, bool close)
+void server::implementation::write(connection& conn, const response& outgoing,
+                                   const internal::answer_framing& framing)
 {
     evbuffer* output = bufferevent_get_output(conn.socket.get());
-    internal::append(output, serialize_head(outgoing, close, this->limits.idle_timeout));
-    if (!has_no_body(outgoing.status, conn.is_head_request))
+    internal::append(output, internal::serialize_head(outgoing, framing.closes,
+                                                      this->limits.idle_timeout));
+    if (!internal::has_no_body(outgoing.status, framing.is_head_request))
         internal::append(output, outgoing.body);
-    conn.closing = close;
-    if (close)
+    conn.closing = framing.closes;
+    if (framing.closes)
         conn.timer.stop();
 }
 
@@ -433,12 +529,16 @@
     event_loop::run_guarded([&conn] { conn.owner.on_output_drained(conn); });
 }
 
-// The last response has been written: shuts down the sending side. The connection is
-// closed when the caller closes it or after close_delay.
+// Goes on reading if unread answers had paused it. If the last response has been written,
+// shuts down the sending side: the connection is closed when the caller closes it or
+// after close_delay.
 void server::implementation::on_output_drained(connection& conn)
 {
     if (!conn.closing)
+    {
+        this->parse_input(conn);
         return;
+    }
     shutdown(bufferevent_getfd(conn.socket.get()), SHUT_WR);
     conn.timer.start(close_delay);
 }
@@ -452,9 +552,7 @@
 
 void server::implementation::on_timeout(connection& conn)
 {
-    const bool reading = conn.parser.state() == parse_state::headers ||
-                         conn.parser.state() == parse_state::body;
-    if (!conn.closing && reading)
+    if (!conn.closing && conn.is_reading())
         this->refuse(conn, 408);
     else
         this->close(conn);
@@ -462,25 +560,34 @@
 
 void server::implementation::close(connection& conn)
 {
-    const exchange_id exchange = conn.exchange;
-    this->update_buffered(conn, 0);
-    this->exchanges.erase(exchange);
+    const std::vector<exchange_id> unanswered = conn.answers.unanswered_ids();
+    for (const exchange_id each : unanswered)
+        this->exchanges.erase(each);
+    this->total_buffered_bytes -= conn.buffered_bytes;
     this->remove_from_idle_list(conn);
     this->open_connections.erase(conn.id);
     if (this->listener && this->open_connections.size() < this->limits.max_connections)
         evconnlistener_enable(this->listener.get());
-    if (exchange != 0 && this->hooks.on_disconnect)
-        this->hooks.on_disconnect(exchange);
+    // Each request is reported even if the hook throws for another one.
+    if (this->hooks.on_disconnect)
+        for (const exchange_id each : unanswered)
+            event_loop::run_guarded([&] { this->hooks.on_disconnect(each); });
 }
 
 void server::implementation::begin_drain()
 {
     this->draining = true;
+    for (const auto& [id, conn] : this->open_connections)
+        if (!conn->answers.empty())
+        {
+            conn->answers.close_after_present();
+            this->discard_input(*conn);
+        }
 }
 
 void server::implementation::stop_accepting()
 {
-    this->draining = true;
+    this->begin_drain();
     if (!this->listener)
         return;
     // Closing the listener resets the connections in its queue, so accept them first.
@@ -553,4 +660,9 @@
     return this->self->pending();
 }
 
+pipelining_counts server::pipelining() const
+{
+    return this->self->pipelining();
+}
+
 } // namespace pistachiospan::http1
