Count a request's time from its arrival

The remaining time that a caller names and the route's timeout counted from when the request was parsed, although it may have waited behind earlier ones of its connection. caller_request::waited counts towards both, and a request whose time is over goes to no upstream. The gateway also says whether a route is idempotent.

--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -132,14 +132,20 @@
 void gateway::submit(time_point now, exchange_id exchange, caller_request incoming)
 {
     ++this->total.submitted;
+    const time_point arrived_at = now - incoming.waited;
     pending_request pending{.request = std::move(incoming),
                             .configuration = this->configuration,
-                            .submitted_at = now};
-    pending.deadline =
-        now + pending.request.time_left.value_or(this->options.default_timeout);
+                            .arrived_at = arrived_at};
+    pending.deadline = pending.arrived_at +
+                       pending.request.time_left.value_or(this->options.default_timeout);
     if (!this->find_route(now, exchange, pending) ||
         !this->admit_suspect(now, exchange, pending))
         return;
+    if (pending.request.waited > duration(0) && pending.deadline <= now)
+    {
+        this->give_up(now, exchange, pending, refusal::too_late, {});
+        return;
+    }
     if (this->upstreams.is_cut_off(now) && this->forward(now, exchange, pending))
         return;
     pending_request& stored =
@@ -220,36 +226,6 @@
     this->dispatch(now, exchange, pending);
 }
 
-// Finds route and account. Refuses the request and returns false if one is missing.
-bool gateway::find_route(time_point now, exchange_id exchange, pending_request& pending)
-{
-    if (!pending.configuration)
-    {
-        this->refuse(now, exchange, pending,
-                     {.reason = refusal::no_configuration,
-                      .retry_after = this->options.no_configuration_retry_after});
-        return false;
-    }
-    pending.route =
-        pending.configuration->find_route(pending.request.host, pending.request.path);
-    if (pending.route == nullptr)
-    {
-        this->refuse(now, exchange, pending, {.reason = refusal::no_route});
-        return false;
-    }
-    pending.account = pending.configuration->find_account(pending.request.key);
-    if (pending.account == nullptr && !pending.route->open)
-    {
-        this->refuse(now, exchange, pending, {.reason = refusal::no_key});
-        return false;
-    }
-    if (pending.route->timeout > duration(0))
-        pending.deadline = std::min(pending.deadline, now + pending.route->timeout);
-    pending.service =
-        configuration::choose_target(*pending.route, pending.request.request_id).service;
-    return true;
-}
-
 double gateway::admission_fraction_for(const pending_request& pending) const
 {
     const int priority = pending.account != nullptr && pending.account->priority > 0
@@ -587,7 +563,8 @@
          .status = status,
          .attempts = pending.attempts,
          .version = pending.configuration ? pending.configuration->version() : 0,
-         .elapsed = now - pending.submitted_at,
+         .elapsed = now - pending.arrived_at,
+         .waited = pending.request.waited,
          .time_left = pending.deadline - now,
          .expected = pending.chosen.expected,
          .wait = pending.chosen.wait,
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -48,6 +48,9 @@
     std::size_t body_size = 0;         // bytes
     bool is_forwarded = false;         // another VM has passed it on to this one
     std::optional<duration> time_left; // as given by the caller
+    // Time since its first byte arrived in this process. It counts towards time_left and
+    // the route's timeout.
+    duration waited{0};
 };
 
 // One request sent to one upstream.
@@ -162,7 +165,8 @@
     int status = 0; // of the upstream
     std::uint32_t attempts = 0;
     std::uint64_t version = 0; // of the configuration that was used
-    duration elapsed{0};
+    duration elapsed{0};       // since the request arrived
+    duration waited{0};        // of it, before the request was submitted
     duration time_left{0};
     // Estimates at the selection of the upstream, or for the best one if none was
     // selected.
@@ -275,6 +279,10 @@
     // that.
     void begin_stop(time_point stops_at);
 
+    // Whether the route of this host and path may run a request more than once; false if
+    // there is none.
+    bool is_idempotent(std::string_view host, std::string_view path) const;
+
     // Starts the processing of a request. Its hooks may be called before this returns.
     void submit(time_point now, exchange_id exchange, caller_request incoming);
     // The answer to gateway_hooks::ask_token. Late and repeated ones are ignored.
@@ -323,7 +331,7 @@
         const configuration::route* route = nullptr;
         const configuration::account* account = nullptr;
         std::string service;
-        time_point submitted_at;
+        time_point arrived_at;
         time_point deadline;
         std::uint32_t attempts = 0; // sent
         std::uint32_t unsent_attempts = 0;
--- a/pistachiospan/gateway/gateway_test.cpp
+++ b/pistachiospan/gateway/gateway_test.cpp
@@ -673,3 +673,47 @@
     BOOST_TEST_REQUIRE(test.refused.size() == 2U);
     BOOST_CHECK(test.refused.back().reason == refusal::no_upstream);
 }
+
+// A pipelined request has waited for earlier ones of its connection. Guards against a
+// remaining time that counts from when the request was submitted: its caller would get an
+// answer, and the upstream work, too late.
+BOOST_AUTO_TEST_CASE(time_before_a_request_was_submitted_counts)
+{
+    fixture all;
+    const auto submit = [&](gateway::exchange_id id, duration time_left, duration waited)
+    {
+        all.paths[id] = "/read/x";
+        all.requests.submit(all.now, id,
+                            {.request_id = std::to_string(id),
+                             .host = "a.example",
+                             .path = "/read/x",
+                             .key = "key",
+                             .time_left = time_left,
+                             .waited = waited});
+    };
+    submit(1, 700ms, 300ms);
+    submit(2, 1s, 300ms); // the route's timeout is 800 ms
+    BOOST_TEST_REQUIRE(all.sent.size() == 2U);
+    BOOST_TEST((all.sent[0].time_left == 400ms));
+    BOOST_TEST((all.sent[1].time_left == 500ms));
+    all.end(2, attempt_outcome::answered);
+    BOOST_TEST((all.records.back().elapsed == 310ms));
+    BOOST_TEST((all.records.back().waited == 300ms));
+    // No upstream gets a request whose time is over, and it counts as not run.
+    submit(3, 300ms, 300ms);
+    BOOST_TEST(all.sent.size() == 2U);
+    BOOST_TEST_REQUIRE(all.refused.size() == 1U);
+    BOOST_TEST((all.refused.front().reason == refusal::too_late));
+    BOOST_TEST(!all.refused.front().may_have_run);
+}
+
+// Guards against a request that must run once and is passed on beside others of its
+// connection, and against the same for a request without a route.
+BOOST_AUTO_TEST_CASE(only_idempotent_routes_may_overlap)
+{
+    const fixture all;
+    BOOST_TEST(all.requests.is_idempotent("a.example", "/read/x"));
+    BOOST_TEST(!all.requests.is_idempotent("a.example", "/order/x"));
+    BOOST_TEST(!all.requests.is_idempotent("a.example", "/other/x"));
+    BOOST_TEST(!all.requests.is_idempotent("b.example", "/read/x"));
+}
