Pass pipelined reads of callers on together

Where the feature is on, the edge daemon lets requests of idempotent routes overlap with earlier ones of their connection, and counts their time from their arrival.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -1,5 +1,6 @@
 #include "pistachiospan/edge/edge.hpp"
 
+#include "pistachiospan/edge/internal/log_fields.hpp"
 #include "pistachiospan/edge/internal/metrics.hpp"
 #include "pistachiospan/edge/internal/peer_link.hpp"
 #include "pistachiospan/edge/internal/store_view.hpp"
@@ -19,6 +20,7 @@
 using event_loop::one_shot_timer;
 using event_loop::periodic_timer;
 using event_loop::wall_now;
+using internal::to_milliseconds;
 using fields = nlohmann::ordered_json;
 
 // Callers with a cached directory answer still connect after SIGTERM: the VM accepts
@@ -82,11 +84,6 @@
     return quarantine::connection_check::unclear;
 }
 
-double to_milliseconds(duration span)
-{
-    return static_cast<double>(span.count()) / 1000;
-}
-
 } // namespace
 
 class edge_daemon::implementation
@@ -107,6 +104,7 @@
 
 private:
     steering::core_options make_core_options() const;
+    http1::server_hooks make_caller_hooks();
     steering::core_hooks make_core_hooks();
     internal::store_view_hooks make_store_hooks();
 
@@ -119,7 +117,6 @@
     void check_connection(const upstreams::upstream_start& upstream,
                           const std::string& address);
     void record(const gateway::record& decision);
-    fields fields_of(const gateway::record& decision) const;
     void log_change(const steering::upstream_event& event);
 
     void apply_operator_row(const mirror::row& changed);
@@ -184,15 +181,7 @@
                       {.correlation_header = this->codec.correlation_header,
                        .max_buffered = this->options.max_memory / body_memory_divisor}),
       vm_client(base, {.max_buffered = this->options.max_memory / body_memory_divisor}),
-      callers(base, this->options.caller_address,
-              {.on_request = [this](http1::exchange_id id, http1::request&& incoming)
-               { this->handle_request(id, std::move(incoming)); },
-               .on_disconnect =
-                   [this](http1::exchange_id id)
-               {
-                   this->core.caller_left(monotonic_now(), id);
-                   this->exchanges.erase(id);
-               }}),
+      callers(base, this->options.caller_address, this->make_caller_hooks()),
       peers(base, this->options.peer_address,
             {.received = [this](const std::string& from, std::string_view bytes)
              { this->core.fleet().receive(monotonic_now(), from, bytes); },
@@ -265,6 +254,34 @@
                       .capacity = this->options.capacity}};
 }
 
+http1::server_hooks edge_daemon::implementation::make_caller_hooks()
+{
+    http1::server_hooks hooks{
+        .on_request = [this](http1::exchange_id id, http1::request&& incoming)
+        { this->handle_request(id, std::move(incoming)); },
+        .on_disconnect =
+            [this](http1::exchange_id id)
+        {
+            this->core.caller_left(monotonic_now(), id);
+            this->exchanges.erase(id);
+        },
+        .on_pause =
+            [this](const http1::pipeline_pause& pause)
+        {
+            this->log("caller_paused", {{"unanswered", pause.unanswered},
+                                        {"waiting_bytes", pause.waiting_bytes}});
+        }};
+    if (this->options.features.pipelining)
+        hooks.may_overlap = [this](const http1::request& incoming)
+        {
+            const result<gateway::caller_request> decoded =
+                this->codec.decode_request(incoming);
+            return decoded && this->core.requests().is_idempotent(decoded.value().host,
+                                                                  decoded.value().path);
+        };
+    return hooks;
+}
+
 steering::core_hooks edge_daemon::implementation::make_core_hooks()
 {
     return {
@@ -363,8 +380,11 @@
         this->callers.respond(id, {.status = 400}, true);
         return;
     }
+    const time_point now = monotonic_now();
+    if (this->options.features.pipelining)
+        decoded.value().waited = now - incoming.received_at;
     this->exchanges.emplace(id, std::move(incoming));
-    this->core.requests().submit(monotonic_now(), id, std::move(decoded.value()));
+    this->core.requests().submit(now, id, std::move(decoded.value()));
 }
 
 gateway::call_id edge_daemon::implementation::send(const gateway::attempt& attempt)
@@ -445,59 +465,23 @@
                          decision.attempts == 1 && decision.status < 500;
     if (routine && ++this->answers % answer_sample_interval != 0)
         return;
-    this->events.write(monotonic_now(), wall_now(),
-                       late && decision.event == "answered" ? "answered_late"
-                                                            : decision.event,
-                       [this, &decision] { return this->fields_of(decision); });
-}
-
-fields edge_daemon::implementation::fields_of(const gateway::record& decision) const
-{
-    return {{"id", decision.request_id},
-            {"route", decision.route},
-            {"account", decision.account},
-            {"service", decision.service},
-            {"upstream", decision.upstream},
-            {"reason", gateway::name_of(decision.reason)},
-            {"status", decision.status},
-            {"attempts", decision.attempts},
-            {"version", decision.version},
-            {"elapsed_ms", to_milliseconds(decision.elapsed)},
-            {"left_ms", to_milliseconds(decision.time_left)},
-            {"expected_ms", to_milliseconds(decision.expected)},
-            {"wait_ms", to_milliseconds(decision.wait)},
-            {"objective_ms", to_milliseconds(decision.objective)},
-            {"load", decision.load},
-            {"store_position",
-             store_version::number_of(this->tables.copy(table::upstreams).position())},
-            {"detail", decision.detail},
-            {"fingerprint", decision.fingerprint}};
+    this->events.write(
+        monotonic_now(), wall_now(),
+        late && decision.event == "answered" ? "answered_late" : decision.event,
+        [this, &decision]
+        {
+            return internal::fields_of(decision,
+                                       this->tables.copy(table::upstreams).position());
+        });
 }
 
 void edge_daemon::implementation::log_change(const steering::upstream_event& event)
 {
-    fields content = {{"upstream", event.upstream.id}};
-    switch (event.change)
-    {
-    case steering::upstream_change::paused:
+    if (event.change == steering::upstream_change::paused)
         this->metrics.count_pause();
-        content["change"] = "paused";
-        content["pause_ms"] = to_milliseconds(event.pause);
-        break;
-    case steering::upstream_change::leaving:
-        content["change"] = event.told ? "leaving, told" : "leaving";
-        break;
-    case steering::upstream_change::limited:
-        this->metrics.count_limit();
-        content["change"] = event.told ? "limited, told" : "limited";
-        content["limit_per_s"] = event.limit;
-        break;
-    case steering::upstream_change::limit_ended:
+    else if (event.change != steering::upstream_change::leaving)
         this->metrics.count_limit();
-        content["change"] = event.told ? "limit ended, told" : "limit ended";
-        break;
-    }
-    this->log("upstream", content);
+    this->log("upstream", internal::fields_of(event));
 }
 
 fleet_node::own_state edge_daemon::implementation::current_state(time_point now) const
@@ -718,6 +702,11 @@
     set("quarantined_requests", this->core.requests().suspects().quarantined_count());
     set("upstream_connections_opened", this->upstream_client.connections_opened());
     set("caller_connections", this->callers.connections());
+    const http1::pipelining_counts pipelined = this->callers.pipelining();
+    set("overlapped_requests", pipelined.overlapped);
+    set("held_requests", pipelined.held);
+    set("paused_callers", pipelined.pauses);
+    set("most_unanswered_of_a_caller", pipelined.most_unanswered);
     const std::uint64_t position = this->tables.copy(table::upstreams).position();
     set("store_position", store_version::number_of(position));
     set("store_generation", store_version::generation_of(position));
