Ask the admission controller in the gateway

Cause: the gateway selects an upstream for each request as it comes. Change: hooks that ask for a decision before the first selection and tell what became of each admitted request; refusal over_share, answered as not run with the turn as its time to retry. Requests that found no upstream get a turn too. Without the hooks nothing changes.

--- a/pistachiospan/admission/admission.hpp
+++ b/pistachiospan/admission/admission.hpp
@@ -56,6 +56,7 @@
 {
     placed,        // it is sent to an upstream
     no_room,       // no upstream has room for it, or none early enough
+    not_sent,      // the upstream did not get it
     refused,       // by the upstream that it was sent to, as not run
     answered,      // within its objective, or late for another reason than the next one
     answered_late, // after the objective, because it had to wait
--- a/pistachiospan/admission/controller.cpp
+++ b/pistachiospan/admission/controller.cpp
@@ -263,6 +263,9 @@
         state.sums.placed += cost;
         state.samples += 1;
         return;
+    case outcome::not_sent:
+        state.sums.placed -= cost;
+        return;
     case outcome::refused:
         state.sums.placed -= cost;
         [[fallthrough]];
--- a/pistachiospan/gateway/gateway.cpp
+++ b/pistachiospan/gateway/gateway.cpp
@@ -64,42 +64,6 @@
 
 } // namespace
 
-std::string_view name_of(refusal reason)
-{
-    switch (reason)
-    {
-    case refusal::none:
-        return "none";
-    case refusal::no_configuration:
-        return "no_configuration";
-    case refusal::no_route:
-        return "no_route";
-    case refusal::no_key:
-        return "no_key";
-    case refusal::over_allowance:
-        return "over_allowance";
-    case refusal::no_upstream:
-        return "no_upstream";
-    case refusal::upstream_limit:
-        return "upstream_limit";
-    case refusal::too_late:
-        return "too_late";
-    case refusal::no_room:
-        return "no_room";
-    case refusal::upstream_full:
-        return "upstream_full";
-    case refusal::unknown_outcome:
-        return "unknown_outcome";
-    case refusal::deadline:
-        return "deadline";
-    case refusal::stopping:
-        return "stopping";
-    case refusal::quarantined:
-        return "quarantined";
-    }
-    return "unknown";
-}
-
 gateway::gateway(gateway_options options, upstreams::upstream_set& upstreams,
                  gateway_hooks hooks)
     : options(options), upstreams(upstreams), hooks(std::move(hooks)),
@@ -226,17 +190,6 @@
     this->dispatch(now, exchange, pending);
 }
 
-double gateway::admission_fraction_for(const pending_request& pending) const
-{
-    const int priority = pending.account != nullptr && pending.account->priority > 0
-                             ? pending.account->priority
-                             : pending.route->priority;
-    const std::size_t last = this->options.admission_fraction.size() - 1;
-    const std::size_t index =
-        std::min(last, static_cast<std::size_t>(std::max(priority, 0)));
-    return this->options.admission_fraction.at(index);
-}
-
 void gateway::begin_stop(time_point stops_at)
 {
     this->stops_at = stops_at;
@@ -288,12 +241,15 @@
 {
     if (!this->admit_suspect(now, exchange, pending))
         return;
+    if (!pending.was_selected && !this->admit_by_share(now, exchange, pending))
+        return;
     pending.chosen = this->upstreams.select(now, this->query_of(now, pending));
     pending.was_selected = true;
     if (!pending.chosen.found)
     {
         const bool too_late =
             pending.chosen.failure == upstreams::selection_failure::too_late;
+        this->note_no_room(now, pending);
         const refusal reason = too_late && this->stops_at
                                    ? refusal::stopping
                                    : refusal_of(pending.chosen.failure);
@@ -323,6 +279,7 @@
     ++this->total.attempts;
     this->begin_suspect(now, exchange, pending);
     this->upstreams.begin(now, pending.chosen);
+    this->note_admitted(now, pending, admission::outcome::placed);
     pending.call = this->hooks.send(
         {.exchange = exchange,
          .upstream = pending.upstream,
@@ -343,6 +300,7 @@
     this->upstreams.end(now, pending.chosen, outcome_of(result), now - pending.sent_at,
                         result.load);
     this->apply_upstream_state(now, pending, result);
+    this->note_result(now, pending, result);
     this->end_suspect(pending);
     this->note_connection(now, exchange, pending, result);
     if (pending.caller_gone)
@@ -494,10 +452,7 @@
         answer.reason = refusal::unknown_outcome;
     if (!pending.may_have_run)
     {
-        answer.retry_after = reason == refusal::stopping
-                                 ? this->options.stopping_retry_after
-                                 : std::max(pending.chosen.retry_after,
-                                            this->options.upstream_full_retry_after);
+        answer.retry_after = this->retry_after(now, pending, reason);
         if (pending.holds_token)
             this->hooks.return_token(pending.account->name);
     }
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -19,6 +19,7 @@
 #ifndef PISTACHIOSPAN_GATEWAY_GATEWAY_HPP
 #define PISTACHIOSPAN_GATEWAY_GATEWAY_HPP
 
+#include "pistachiospan/admission/admission.hpp"
 #include "pistachiospan/allowance/allowance.hpp"
 #include "pistachiospan/configuration/configuration.hpp"
 #include "pistachiospan/quarantine/quarantine.hpp"
@@ -138,6 +139,7 @@
     deadline,        // no answer in time; it may have run
     stopping,        // no answer is expected before this process ends
     quarantined,     // it was at several upstreams that ended
+    over_share,      // room is short, and others come first or have had less of it
 };
 
 std::string_view name_of(refusal reason);
@@ -179,6 +181,17 @@
     std::string fingerprint;
 };
 
+// See admission::controller. Without them requests compete for upstreams as they come.
+struct admission_hooks
+{
+    std::function<admission::decision(time_point, const admission::request&)> decide =
+        nullptr;
+    std::function<void(time_point, const admission::request&, admission::outcome,
+                       duration elapsed)>
+        note = nullptr;
+    std::function<duration(time_point, const admission::request&)> retry_turn = nullptr;
+};
+
 struct gateway_hooks
 {
     // Asks for a token of the account. finish_admission() must follow, at once or later.
@@ -213,6 +226,7 @@
     // A trial was begun, or an answer has cleared the request.
     std::function<void(time_point, const quarantine::fingerprint&, bool cleared)>
         suspect_changed = nullptr;
+    admission_hooks admission;
 };
 
 struct gateway_options
@@ -389,6 +403,17 @@
     // Returns the credit of a retry that was charged to the budget and not sent.
     void return_retry(time_point now, const pending_request& pending);
     double admission_fraction_for(const pending_request& pending) const;
+    static int priority_of(const pending_request& pending);
+    static admission::request admission_request(time_point now,
+                                                const pending_request& pending);
+    bool admit_by_share(time_point now, exchange_id exchange, pending_request& pending);
+    void note_admitted(time_point now, const pending_request& pending,
+                       admission::outcome outcome, duration elapsed = duration(0)) const;
+    void note_no_room(time_point now, const pending_request& pending) const;
+    void note_result(time_point now, const pending_request& pending,
+                     const attempt_result& result) const;
+    duration retry_after(time_point now, const pending_request& pending,
+                         refusal reason) const;
     duration upstream_time_limit(time_point now, const pending_request& pending) const;
     duration admission_time_limit(time_point now, const pending_request& pending) const;
 
