Exchange demand and decisions about admission in a data centre

Cause: VMs that see a full service decide by the few requests of their own. Change: datagram kind 's'. Members report the services that are short once a second, the coordinator divides the sums and tells each member what passes of the accounts that it has reported. steering connects controller, coordinator, gateway and fleet protocol if fair admission is switched on. Result: fleet_node_test and steering_test pass; the exchange between VMs is not yet tested with the fleet protocol.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -251,7 +251,8 @@
                       .places = this->options.regions,
                       .peer_address = this->options.peer_address,
                       .caller_address = this->options.caller_address,
-                      .capacity = this->options.capacity}};
+                      .capacity = this->options.capacity},
+            .fair_admission = this->options.features.fair_admission};
 }
 
 http1::server_hooks edge_daemon::implementation::make_caller_hooks()
--- a/pistachiospan/fleet_node/fleet_node.cpp
+++ b/pistachiospan/fleet_node/fleet_node.cpp
@@ -238,6 +238,7 @@
             this->hooks.log("data_centre_lost", {{"data_centre", lost}});
     this->update_shares(now);
     this->send_updates(now);
+    this->exchange_admission(now);
     this->apply_vm_count(now);
 }
 
@@ -380,6 +381,9 @@
     case upstream_answer_kind:
         this->upstream_tokens.receive_answer(now, from, content);
         return;
+    case admission_kind:
+        this->receive_admission(now, from, content);
+        return;
     default:
         this->hooks.log("datagram_rejected",
                         {{"from", from},
--- a/pistachiospan/fleet_node/fleet_node.hpp
+++ b/pistachiospan/fleet_node/fleet_node.hpp
@@ -34,6 +34,7 @@
 inline constexpr char notices_kind = 'n';
 inline constexpr char upstream_query_kind = 'u';
 inline constexpr char upstream_answer_kind = 'v';
+inline constexpr char admission_kind = 's';
 
 struct node_options
 {
@@ -61,6 +62,17 @@
 
 using remote_demands = std::map<std::string, upstreams::remote_demand>; // by service
 
+// Messages about admission; empty ones are not sent. Without these hooks there are none.
+struct admission_hooks
+{
+    // Demand and room at this VM, for the coordinator.
+    std::function<std::string(time_point)> report = nullptr;
+    // Coordinators only: what the member with this peer address is told.
+    std::function<std::string(time_point, const std::string& member)> decisions = nullptr;
+    std::function<void(time_point, const std::string& from, std::string_view)> receive =
+        nullptr;
+};
+
 struct node_hooks
 {
     std::function<void(std::string_view datagram, std::span<const std::string> addresses)>
@@ -94,6 +106,7 @@
     std::function<void(allowance::ticket, const allowance::admission&)>
         upstream_token_done;
     std::function<void(std::string_view event, const nlohmann::ordered_json&)> log;
+    admission_hooks admission;
 };
 
 class node
@@ -228,6 +241,9 @@
     void send_notices(const fleet::upstream_notices& notices,
                       std::span<const std::string> addresses);
     void receive_notices(time_point now, std::string_view bytes);
+    void exchange_admission(time_point now);
+    void receive_admission(time_point now, const std::string& from,
+                           std::string_view bytes);
 
     node_options options;
     node_hooks hooks;
@@ -250,6 +266,7 @@
     std::vector<fleet::coordinator_entry> coordinators;
     internal::vm_count vm_counts; // counted here, or told by the coordinator
     time_point started_at;
+    time_point admission_told_at;
     // Coordinators only: content of the last digest.
     fleet::address_lists sent_lists;
     std::vector<fleet::vm_entry> sent_members;
--- a/pistachiospan/steering/steering.cpp
+++ b/pistachiospan/steering/steering.cpp
@@ -43,6 +43,9 @@
 core::core(core_options options, core_hooks given)
     : hooks(std::move(given)),
       known_upstreams(std::move(options.upstreams), options.fleet.places),
+      shared_room(options.fair_admission
+                      ? std::make_unique<fair_admission>(this->hooks.log)
+                      : nullptr),
       local_requests(options.gateway, this->known_upstreams, this->make_gateway_hooks()),
       local_node(this->hooks.now(), options.fleet, this->make_fleet_hooks()),
       helpers({.regions = options.fleet.places,
@@ -124,9 +127,9 @@
         { this->note_end(now, ended, quarantined); },
         .suspect_changed =
             [this](time_point now, const quarantine::fingerprint& request, bool cleared)
-        {
-            this->note_suspect(now, request, cleared);
-        }};
+        { this->note_suspect(now, request, cleared); },
+        .admission = this->shared_room ? this->shared_room->gateway_hooks()
+                                       : gateway::admission_hooks{}};
 }
 
 fleet_node::node_hooks core::make_fleet_hooks()
@@ -177,7 +180,15 @@
                 this->local_requests.finish_upstream_admission(this->hooks.now(), id,
                                                                outcome);
             },
-        .log = this->hooks.log};
+        .log = this->hooks.log,
+        .admission = this->shared_room ? this->shared_room->fleet_hooks()
+                                       : fleet_node::admission_hooks{}};
+}
+
+std::vector<admission::service_view> core::admission_views(time_point now) const
+{
+    return this->shared_room ? this->shared_room->views(now)
+                             : std::vector<admission::service_view>();
 }
 
 void core::note_vm_count(std::size_t count)
--- a/pistachiospan/steering/steering.hpp
+++ b/pistachiospan/steering/steering.hpp
@@ -16,6 +16,7 @@
 
 #include "pistachiospan/fleet_node/fleet_node.hpp"
 #include "pistachiospan/gateway/gateway.hpp"
+#include "pistachiospan/steering/fair_admission.hpp"
 #include "pistachiospan/steering/forwarding.hpp"
 #include "pistachiospan/upstreams/upstreams.hpp"
 
@@ -27,6 +28,8 @@
     upstreams::upstream_set_options upstreams;
     gateway::gateway_options gateway;
     fleet_node::node_options fleet;
+    // Accounts share the room of a service by urgency and evenly when it is short.
+    bool fair_admission = false;
 };
 
 enum class upstream_change
@@ -103,6 +106,9 @@
     // While this VM reaches no upstream, tries some of them. Call several times a second.
     void check_links(time_point now);
 
+    // By service; empty if fair admission is off.
+    std::vector<admission::service_view> admission_views(time_point now) const;
+
     gateway::gateway& requests()
     {
         return this->local_requests;
@@ -155,6 +161,7 @@
 
     core_hooks hooks;
     upstreams::upstream_set known_upstreams;
+    std::unique_ptr<fair_admission> shared_room; // null if it is off
     gateway::gateway local_requests;
     fleet_node::node local_node;
     forwarder helpers;
