Show decisions on admission in the metrics

Cause: an operator could not see which level and share of a service pass. Change: gauge pistachiospan_admission by service: short, told, level, share, room, demand, refused. The loop over the services' retries moves to metrics.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -713,9 +713,8 @@
     set("store_generation", store_version::generation_of(position));
     set("log_lines_left_out", this->events.suppressed_lines());
     set("log_lines_lost", this->events.dropped_lines());
-    for (const auto& [service, counts] :
-         this->core.requests().retry_totals(monotonic_now()))
-        this->metrics.set_retries(service, counts);
+    this->metrics.set_retries(this->core.requests().retry_totals(monotonic_now()));
+    this->metrics.set_admission(this->core.admission_views(monotonic_now()));
     this->metrics_server->respond(
         id, {.status = 200,
              .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
--- a/pistachiospan/edge/internal/metrics.hpp
+++ b/pistachiospan/edge/internal/metrics.hpp
@@ -36,8 +36,9 @@
     void count_unreadable_entry();
     // Sets the gauge of this name.
     void set(const std::string& name, double value);
-    // Sets the gauges of a service's retries.
-    void set_retries(const std::string& service, const gateway::retry_counts& counts);
+    // By service.
+    void set_retries(const std::map<std::string, gateway::retry_counts>& by_service);
+    void set_admission(std::span<const admission::service_view> services);
 
     // All metrics in the Prometheus text format.
     std::string render();
@@ -55,6 +56,7 @@
     prometheus::Counter& unreadable_entries;
     prometheus::Family<prometheus::Gauge>& gauges;
     prometheus::Family<prometheus::Gauge>& retries;
+    prometheus::Family<prometheus::Gauge>& admission;
     std::map<std::string, prometheus::Histogram*> by_route;
 };
 
--- a/pistachiospan/edge/metrics.cpp
+++ b/pistachiospan/edge/metrics.cpp
@@ -69,7 +69,12 @@
       retries(prometheus::BuildGauge()
                   .Name("pistachiospan_retries")
                   .Help("Retries by service: sent, denied by the budget, permitted now")
-                  .Register(this->registry))
+                  .Register(this->registry)),
+      admission(prometheus::BuildGauge()
+                    .Name("pistachiospan_admission")
+                    .Help("Admission by service: whether room is short, level and share "
+                          "that pass, room, demand, refused requests")
+                    .Register(this->registry))
 {
 }
 
@@ -134,15 +139,36 @@
     this->gauges.Add({{"name", name}}).Set(value);
 }
 
-void metrics::set_retries(const std::string& service, const gateway::retry_counts& counts)
+void metrics::set_retries(const std::map<std::string, gateway::retry_counts>& by_service)
+{
+    for (const auto& [service, counts] : by_service)
+    {
+        const auto set = [this, &service](const char* name, double value)
+        {
+            this->retries.Add({{"service", service}, {"name", name}}).Set(value);
+        };
+        set("sent", static_cast<double>(counts.sent));
+        set("denied", static_cast<double>(counts.denied));
+        set("credit", counts.credit);
+    }
+}
+
+void metrics::set_admission(std::span<const admission::service_view> services)
 {
-    const auto set = [this, &service](const char* name, double value)
+    for (const admission::service_view& each : services)
     {
-        this->retries.Add({{"service", service}, {"name", name}}).Set(value);
-    };
-    set("sent", static_cast<double>(counts.sent));
-    set("denied", static_cast<double>(counts.denied));
-    set("credit", counts.credit);
+        const auto set = [this, &each](const char* name, double value)
+        {
+            this->admission.Add({{"service", each.service}, {"name", name}}).Set(value);
+        };
+        set("short", each.is_short ? 1 : 0);
+        set("told", each.is_told ? 1 : 0);
+        set("level", each.level);
+        set("share", each.share);
+        set("room", each.room);
+        set("demand", each.demand);
+        set("refused", static_cast<double>(each.refused));
+    }
 }
 
 std::string metrics::render()
