Pass on the pipelined requests that are read together during a stop

Of several requests sent at once to a stopping VM only the first was passed on; the caller had to send the others again. All that are read together are passed on now, and the last answer closes the connection.

--- a/pistachiospan/http1/internal/server_implementation.hpp
+++ b/pistachiospan/http1/internal/server_implementation.hpp
@@ -109,6 +109,7 @@
     bool may_overlap(connection& conn);
     void finish_wait(connection& conn);
     void continue_body(connection& conn);
+    void close_after_present(connection& conn);
     void discard_input(connection& conn);
     void dispatch_request(connection& conn);
     void refuse(connection& conn, int status);
--- a/pistachiospan/http1/pipeline_test.cpp
+++ b/pistachiospan/http1/pipeline_test.cpp
@@ -404,17 +404,36 @@
     BOOST_TEST(all.ended);
 }
 
-// Guards against a stop that cuts off a request which is still being read, and one that
-// answers several on a connection whose first answer closes it.
-BOOST_AUTO_TEST_CASE(first_request_during_a_stop_is_the_last_one)
+// Guards against a stop that cuts off a request which is still being read, one that
+// passes on only the first of several sent at once, and one that lets a connection go on.
+BOOST_AUTO_TEST_CASE(requests_read_together_during_a_stop_are_the_last_ones)
 {
     fixture all;
     all.send(get("/read1").substr(0, 10));
     all.run_for(50ms);
     all.server.begin_drain();
-    all.send(get("/read1").substr(10) + get("/read2"));
-    BOOST_TEST(all.targets() == "/read1 ");
+    all.send(get("/read1").substr(10) + get("/read2") + get("/read3").substr(0, 10));
+    BOOST_TEST(all.targets() == "/read1 /read2 ");
+    all.send(get("/read3").substr(10));
+    BOOST_TEST(all.targets() == "/read1 /read2 ");
     all.answer("/read1");
+    BOOST_TEST(all.answered() == "200/read1 ");
+    all.answer("/read2");
+    BOOST_TEST(all.answered() == "200/read1 200/read2! ");
+    BOOST_TEST(all.ended);
+}
+
+// Guards against a connection that stays open during a stop because its requests are
+// answered while they are read.
+BOOST_AUTO_TEST_CASE(answers_given_at_once_close_during_a_stop)
+{
+    fixture all;
+    all.on_receive = [&](const std::string& target)
+    {
+        all.answer(target);
+    };
+    all.server.begin_drain();
+    all.send(get("/read1") + get("/read2"));
     BOOST_TEST(all.answered() == "200/read1! ");
     BOOST_TEST(all.ended);
 }
--- a/pistachiospan/http1/server.cpp
+++ b/pistachiospan/http1/server.cpp
@@ -173,11 +173,7 @@
 {
     this->draining = true;
     for (const auto& [id, conn] : this->open_connections)
-        if (!conn->answers.empty())
-        {
-            conn->answers.close_after_present();
-            this->discard_input(*conn);
-        }
+        this->close_after_present(*conn);
 }
 
 void server::implementation::stop_accepting()
--- a/pistachiospan/http1/server_requests.cpp
+++ b/pistachiospan/http1/server_requests.cpp
@@ -61,8 +61,11 @@
     while (this->parse_chunk(conn))
         if (!this->open_connections.contains(id))
             return;
-    if (this->open_connections.contains(id))
-        conn.parsing = false;
+    if (!this->open_connections.contains(id))
+        return;
+    conn.parsing = false;
+    if (this->draining)
+        this->close_after_present(conn);
 }
 
 // Returns false if nothing more can be parsed now.
@@ -204,6 +207,15 @@
                      "HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+// At a planned stop, no request follows those that have been passed on.
+void server::implementation::close_after_present(connection& conn)
+{
+    if (conn.closing || conn.answers.empty())
+        return;
+    conn.answers.close_after_present();
+    this->discard_input(conn);
+}
+
 // Drops what was sent behind the last request of the connection. It counts as not read.
 void server::implementation::discard_input(connection& conn)
 {
@@ -232,7 +244,7 @@
     if (!conn.answers.empty())
         ++this->counts.overlapped;
     conn.answers.add(exchange, {.is_head_request = conn.parser.method == "HEAD",
-                                .is_last = !conn.parser.keep_alive() || this->draining,
+                                .is_last = !conn.parser.keep_alive(),
                                 .body_bytes = conn.parser.body_memory()});
     this->counts.most_unanswered =
         std::max(this->counts.most_unanswered, conn.answers.unanswered());
@@ -266,7 +278,7 @@
         return;
     connection& conn = *this->open_connections.at(found->second);
     this->exchanges.erase(found);
-    conn.answers.put(exchange, outgoing, close);
+    conn.answers.put(exchange, outgoing, close || this->draining);
     this->update_buffered(conn);
     if (conn.closing)
         return;
