Share the load of upstreams between the VMs

A VM sends to a given upstream about once in ten seconds, so it believes queues to be empty that the requests of 65 VMs fill. VMs now report their requests at each upstream, and the load reports of their last answers, to their coordinator; coordinators exchange sums and send estimates to their members (datagram kind 'c'). Off, nothing is sent and decisions are as before.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -241,6 +241,7 @@
 {
     return {.upstreams = {.seed = hash_bytes(this->options.vm.value),
                           .data_centre = this->options.data_centre,
+                          .shared_capacity = this->options.features.shared_capacity,
                           .max_region_shift = this->options.max_region_shift,
                           .replaces_lost_process = !this->options.first_start},
             .gateway = {.retry_ratio = this->options.retry_ratio,
@@ -696,6 +697,7 @@
     set("limited_attempts", totals.limited_attempts);
     set("limit_refusals", totals.limit_refusals);
     set("upstreams", this->core.upstreams().size());
+    set("upstream_loads_told", this->core.upstreams().told_loads(monotonic_now()));
     set("limited_upstreams", this->core.upstreams().limited_upstreams().size());
     set("upstreams_reachable",
         this->core.upstreams().is_cut_off(monotonic_now()) ? 0 : 1);
--- a/pistachiospan/fleet_node/fleet_node.cpp
+++ b/pistachiospan/fleet_node/fleet_node.cpp
@@ -39,7 +39,8 @@
       upstream_tokens(
           {.data_centres = this->options.places.size(), .admits_unknown = false},
           this->upstream_token_hooks()),
-      coordinator_read_at(now), started_at(now)
+      loads(this->options.started, this->load_hooks()), coordinator_read_at(now),
+      started_at(now)
 {
 }
 
@@ -239,6 +240,7 @@
     this->update_shares(now);
     this->send_updates(now);
     this->exchange_admission(now);
+    this->loads.tick(now, this->load_peers());
     this->apply_vm_count(now);
 }
 
@@ -384,6 +386,9 @@
     case admission_kind:
         this->receive_admission(now, from, content);
         return;
+    case capacity_kind:
+        this->loads.receive(now, from, content, this->load_peers());
+        return;
     default:
         this->hooks.log("datagram_rejected",
                         {{"from", from},
--- a/pistachiospan/fleet_node/fleet_node.hpp
+++ b/pistachiospan/fleet_node/fleet_node.hpp
@@ -20,6 +20,7 @@
 #define PISTACHIOSPAN_FLEET_NODE_FLEET_NODE_HPP
 
 #include "pistachiospan/cell/cell.hpp"
+#include "pistachiospan/fleet_node/internal/load_exchange.hpp"
 #include "pistachiospan/fleet_node/internal/token_exchange.hpp"
 #include "pistachiospan/fleet_node/internal/vm_count.hpp"
 
@@ -35,6 +36,7 @@
 inline constexpr char upstream_query_kind = 'u';
 inline constexpr char upstream_answer_kind = 'v';
 inline constexpr char admission_kind = 's';
+inline constexpr char capacity_kind = 'c';
 
 struct node_options
 {
@@ -97,6 +99,12 @@
     std::function<fleet::upstream_notices(time_point, bool recent)> notices;
     // Returns true if they said anything new.
     std::function<bool(time_point, const fleet::upstream_notices&)> notices_received;
+    // Load of the upstreams; see internal::load_exchange_hooks. Null: it is not shared.
+    std::function<std::vector<capacity::upstream_load>(time_point, duration span)> loads =
+        nullptr;
+    std::function<void(time_point, std::span<const capacity::upstream_load>,
+                       bool complete)>
+        load_estimates = nullptr;
     // Another VM runs this version of the configuration.
     std::function<void(time_point, const vm_id&, std::uint64_t version)> version_received;
     std::function<void(std::size_t count)> vm_count_changed;
@@ -237,6 +245,8 @@
                                                   bool pooled) const;
     internal::token_exchange_hooks account_token_hooks();
     internal::token_exchange_hooks upstream_token_hooks();
+    internal::load_exchange_hooks load_hooks();
+    internal::load_peers load_peers() const;
     void log_rejected_tokens(const error& problem);
     void send_notices(const fleet::upstream_notices& notices,
                       std::span<const std::string> addresses);
@@ -251,6 +261,7 @@
     fleet::membership membership;
     internal::token_exchange tokens; // of the client accounts
     internal::token_exchange upstream_tokens;
+    internal::load_exchange loads;
     std::map<std::string, std::string, std::less<>> limit_holders; // by name of the limit
     cell::role last_role = cell::role::searching;
     std::uint64_t sequence = 0;
--- a/pistachiospan/fleet_node/malformed_test.cpp
+++ b/pistachiospan/fleet_node/malformed_test.cpp
@@ -62,6 +62,14 @@
             .plans = {{"orders", {{"n1", 1.0}}}}};
 }
 
+capacity::load_message load_message_of(capacity::scope scope)
+{
+    return {.scope = scope,
+            .process = 3,
+            .sequence = 1,
+            .loads = {{.upstream = 7, .requests = 2, .reported = {{.requests = 4}}}}};
+}
+
 std::vector<std::string> datagrams()
 {
     return {report_kind + fleet::encode(report_of("m", "n1", 0)),
@@ -75,7 +83,10 @@
             upstream_query_kind +
                 allowance::encode(allowance::token_query{.serial = 1, .limit = "u1/3"}),
             upstream_answer_kind +
-                allowance::encode(allowance::token_answer{.serial = 1, .limit = "u1/3"})};
+                allowance::encode(allowance::token_answer{.serial = 1, .limit = "u1/3"}),
+            capacity_kind + capacity::encode(load_message_of(capacity::scope::vm), 1000),
+            capacity_kind +
+                capacity::encode(load_message_of(capacity::scope::fleet), 1000)};
 }
 
 // A VM that is coordinator or member of its data centre.
@@ -128,6 +139,10 @@
                 this->received_notices = received;
                 return true;
             },
+            .loads = [](time_point, duration)
+            { return std::vector<capacity::upstream_load>(); },
+            .load_estimates = [](time_point, std::span<const capacity::upstream_load>,
+                                 bool) {},
             .version_received = [](time_point, const vm_id&, std::uint64_t) {},
             .vm_count_changed = [](std::size_t) {},
             .role_changed = [](cell::role) {},
@@ -216,8 +231,9 @@
 // another version, or a corrupting link, by these lines.
 BOOST_AUTO_TEST_CASE(undecodable_messages_are_logged)
 {
-    for (const char kind : {report_kind, digest_kind, query_kind, answer_kind,
-                            notices_kind, upstream_query_kind, upstream_answer_kind})
+    for (const char kind :
+         {report_kind, digest_kind, query_kind, answer_kind, notices_kind,
+          upstream_query_kind, upstream_answer_kind, capacity_kind})
     {
         vm one(true);
         one.events.clear();
--- a/pistachiospan/fleet_node/model_test.hpp
+++ b/pistachiospan/fleet_node/model_test.hpp
@@ -42,6 +42,9 @@
     std::size_t received = 0;
     // Datagrams that the VM sends are lost; it still receives.
     bool outbound_loss = false;
+    std::size_t loads_sent = 0; // bytes of the datagrams about the load of upstreams
+    std::size_t loads_received = 0;
+    std::size_t estimates = 0; // upstreams in the last estimates
 };
 
 struct model_options
@@ -51,6 +54,8 @@
     std::vector<configuration::account> accounts;
     std::uint64_t seed = 1;
     double loss = 0; // of datagrams
+    // Loads that a VM reports; null: the loads are not shared.
+    std::function<std::vector<capacity::upstream_load>(random_engine&)> loads = nullptr;
 };
 
 class model
@@ -265,6 +270,10 @@
             .notices = [](time_point, bool) { return fleet::upstream_notices(); },
             .notices_received = [](time_point, const fleet::upstream_notices&)
             { return false; },
+            .loads = this->loads_hook(),
+            .load_estimates =
+                [this, at](time_point, std::span<const capacity::upstream_load> received,
+                           bool) { this->vms[at].estimates = received.size(); },
             .version_received = [](time_point, const vm_id&, std::uint64_t) {},
             .vm_count_changed = [this, at](std::size_t count)
             { this->vms[at].vm_count = count; },
@@ -278,6 +287,16 @@
                 }};
     }
 
+    std::function<std::vector<capacity::upstream_load>(time_point, duration)> loads_hook()
+    {
+        if (!this->options.loads)
+            return nullptr;
+        return [this](time_point, duration)
+        {
+            return this->options.loads(this->random);
+        };
+    }
+
     void learn_leaving(std::size_t at,
                        std::span<const upstreams::upstream_start> received)
     {
@@ -358,6 +377,8 @@
         for (const std::string& address : addresses)
         {
             from.sent += content->size() + datagram_header;
+            if (content->front() == capacity_kind)
+                from.loads_sent += content->size() + datagram_header;
             const std::size_t to = this->by_address.at(address);
             const bool lost =
                 std::uniform_real_distribution<>(0, 1)(this->random) < this->options.loss;
@@ -368,6 +389,8 @@
                         {
                             vm_state& vm = this->vms[to];
                             vm.received += content->size() + datagram_header;
+                            if (content->front() == capacity_kind)
+                                vm.loads_received += content->size() + datagram_header;
                             vm.process->receive(this->now, source, *content);
                         });
         }
--- a/pistachiospan/steering/steering.cpp
+++ b/pistachiospan/steering/steering.cpp
@@ -78,6 +78,7 @@
 
 void core::check_links(time_point now)
 {
+    this->check_loads(now);
     const bool is_cut_off = this->known_upstreams.is_cut_off(now);
     if (std::exchange(this->was_cut_off, is_cut_off) != is_cut_off)
         this->hooks.log(is_cut_off ? "upstreams_lost" : "upstreams_regained",
@@ -88,6 +89,15 @@
         this->hooks.check_connection(each.upstream, each.address);
 }
 
+// Logs whether the other VMs tell this one the load of the upstreams.
+void core::check_loads(time_point now)
+{
+    const std::size_t told = this->known_upstreams.told_loads(now);
+    if (std::exchange(this->knew_loads, told > 0) != (told > 0))
+        this->hooks.log(told > 0 ? "upstream_loads_told" : "upstream_loads_unknown",
+                        {{"upstreams", told}});
+}
+
 void core::set_configuration(const std::shared_ptr<const configuration::state>& next)
 {
     this->local_requests.set_configuration(next);
@@ -170,6 +180,12 @@
             const bool suspects = this->learn_suspects(now, received.suspects);
             return leaving || limits || suspects;
         },
+        .loads = [this](time_point now, duration span)
+        { return this->known_upstreams.report_loads(now, span); },
+        .load_estimates = [this](time_point now,
+                                 std::span<const capacity::upstream_load> estimates,
+                                 bool complete)
+        { this->known_upstreams.apply_load_estimates(now, estimates, complete); },
         .version_received = this->hooks.version_received,
         .vm_count_changed = [this](std::size_t count) { this->note_vm_count(count); },
         .role_changed = this->hooks.role_changed,
--- a/pistachiospan/steering/steering.hpp
+++ b/pistachiospan/steering/steering.hpp
@@ -154,6 +154,7 @@
     void apply_limits(time_point now);
     // The VMs share the rates of cold upstreams: this VM uses its part of them.
     void note_vm_count(std::size_t count);
+    void check_loads(time_point now);
     fleet_node::own_state current_state(time_point now) const;
     void request_token(gateway::exchange_id id, const std::string& account);
     void request_upstream_token(gateway::exchange_id id,
@@ -166,6 +167,7 @@
     fleet_node::node local_node;
     forwarder helpers;
     bool was_cut_off = false;         // at the last check of the links
+    bool knew_loads = false;          // the same
     std::uint64_t applied_limits = 0; // version that the node enforces
     std::size_t vm_count = 0;         // that share with this one; 0: not known yet
     time_point quarantine_told_at;    // all requests in quarantine
--- /dev/null
+++ b/pistachiospan/upstreams/loads.cpp
@@ -0,0 +1,110 @@
+// The load of the upstreams, as they report it and as the VMs tell it to each other.
+
+#include "pistachiospan/upstreams/internal/arithmetic.hpp"
+#include "pistachiospan/upstreams/upstreams.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pistachiospan::upstreams
+{
+
+using internal::micros;
+
+namespace
+{
+
+// Several messages in a row may be lost.
+constexpr duration max_news_age = std::chrono::seconds(6);
+
+bool has_recent(const internal::shared_load& shared, time_point now)
+{
+    return now - shared.others_at <= max_news_age;
+}
+
+} // namespace
+
+bool upstream_set::shares_load(const upstream& target) const
+{
+    if (this->options.shared_capacity)
+        return true;
+    const auto group = this->groups.find(target.registration.service);
+    return group != this->groups.end() && group->second.shares_load;
+}
+
+// The requests of this VM, and those of the others by the newest news about them, which
+// lose their weight with time.
+double upstream_set::load_of(time_point now, const upstream& target) const
+{
+    const bool is_shared = target.shared.others_at > target.reported_at;
+    const double others = is_shared ? target.shared.others : target.remote_load;
+    const time_point at = is_shared ? target.shared.others_at : target.reported_at;
+    // A VM that gets no news decides as if the load were not shared.
+    const bool has_news = has_recent(target.shared, now);
+    const duration decay_time =
+        has_news ? this->options.shared_decay_time : this->options.report_decay_time;
+    return target.in_flight + others * std::exp(-micros(now - at) / micros(decay_time));
+}
+
+void upstream_set::note_load(time_point now, upstream& target, const load_report& report)
+{
+    if (report.host_work_factor)
+        this->group_of(target.registration.service).shares_load = true;
+    const std::uint32_t total = report.running + report.waiting;
+    target.shared.reported = total;
+    target.shared.reported_at = now;
+    // The report may still count the request that it answers.
+    target.remote_load = std::max(0.0, static_cast<double>(total) - target.in_flight - 1);
+    target.reported_at = now;
+}
+
+std::vector<capacity::upstream_load> upstream_set::report_loads(time_point now,
+                                                                duration span)
+{
+    std::vector<capacity::upstream_load> loads;
+    for (const auto& [id, each] : this->upstreams_by_id)
+    {
+        if (!this->shares_load(*each))
+            continue;
+        each->shared.told = each->in_flight;
+        const duration age = now - each->shared.reported_at;
+        if (each->in_flight == 0 && age > span)
+            continue;
+        capacity::upstream_load& load = loads.emplace_back(capacity::upstream_load{
+            .upstream = capacity::key_of(id, each->registration.started),
+            .requests = each->in_flight});
+        if (age <= span)
+            load.reported = {.requests = each->shared.reported, .age = age};
+    }
+    return loads;
+}
+
+void upstream_set::apply_load_estimates(
+    time_point now, std::span<const capacity::upstream_load> estimates, bool complete)
+{
+    std::unordered_map<capacity::upstream_key, const capacity::upstream_load*> by_key;
+    for (const capacity::upstream_load& each : estimates)
+        by_key.emplace(each.upstream, &each);
+    for (const auto& [id, each] : this->upstreams_by_id)
+    {
+        if (!this->shares_load(*each))
+            continue;
+        const auto found = by_key.find(capacity::key_of(id, each->registration.started));
+        if (found == by_key.end() && !complete)
+            continue;
+        const double total =
+            found == by_key.end() ? 0 : static_cast<double>(found->second->requests);
+        const duration age = found == by_key.end() ? duration(0) : found->second->age;
+        each->shared.others = std::max(0.0, total - each->shared.told);
+        each->shared.others_at = now - age;
+    }
+}
+
+std::size_t upstream_set::told_loads(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->upstreams_by_id, [now](const auto& each)
+                              { return has_recent(each.second->shared, now); }));
+}
+
+} // namespace pistachiospan::upstreams
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -158,6 +158,7 @@
         known->announced_leaving =
             this->leaving.contains({registration.id, registration.started});
         known->remote_load = 0;
+        known->shared = {};
         known->slowness = 1;
         known->objects.clear();
         change = "restarted";
@@ -230,14 +231,6 @@
     return state.is_evacuating ? 1 - progress : progress;
 }
 
-double upstream_set::load_of(time_point now, const upstream& target) const
-{
-    const double age = micros(now - target.reported_at);
-    const double remote_load =
-        target.remote_load * std::exp(-age / micros(this->options.report_decay_time));
-    return target.in_flight + remote_load;
-}
-
 double upstream_set::slowness_of(time_point now, const upstream& target) const
 {
     const double age = micros(now - target.sampled_at);
@@ -565,12 +558,7 @@
         target->start_times.pop_front();
     }
     if (report)
-    {
-        // The report may still count the request that it answers.
-        const double total = report->running + report->waiting;
-        target->remote_load = std::max(0.0, total - target->in_flight - 1);
-        target->reported_at = now;
-    }
+        this->note_load(now, *target, *report);
     switch (result)
     {
     case outcome::answered:
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -19,11 +19,13 @@
 #ifndef PISTACHIOSPAN_UPSTREAMS_UPSTREAMS_HPP
 #define PISTACHIOSPAN_UPSTREAMS_UPSTREAMS_HPP
 
+#include "pistachiospan/capacity/capacity.hpp"
 #include "pistachiospan/configuration/configuration.hpp"
 #include "pistachiospan/upstreams/internal/availability.hpp"
 #include "pistachiospan/upstreams/internal/learned_time.hpp"
 #include "pistachiospan/upstreams/internal/limit_use.hpp"
 #include "pistachiospan/upstreams/internal/reachability.hpp"
+#include "pistachiospan/upstreams/internal/shared_load.hpp"
 #include "pistachiospan/upstreams/request_limits.hpp"
 
 #include <deque>
@@ -92,6 +94,11 @@
     duration speed_recovery_time = std::chrono::seconds(4);
     // Time constant with which the reported load of other VMs loses its weight.
     duration report_decay_time = std::chrono::milliseconds(400);
+    // The VMs share what they know about the load of all upstreams; otherwise only of
+    // those of services whose upstreams report the work time of their host.
+    bool shared_capacity = false;
+    // The same time constant when the VMs share it: news come every one or two seconds.
+    duration shared_decay_time = std::chrono::seconds(3);
     // Number of objects that one upstream is assumed to know.
     std::size_t max_known_objects = 64;
     double cold_work_factor = 2.0; // work at a cold upstream
@@ -339,6 +346,17 @@
         return this->limited_changes;
     }
 
+    // Requests of this VM at the upstreams whose load the VMs share, and reports that it
+    // got within `span`, to be reported to the other VMs.
+    std::vector<capacity::upstream_load> report_loads(time_point now, duration span);
+    // Sets the load of the upstreams as all VMs together know it. Upstreams that are not
+    // listed have no requests if the list is complete.
+    void apply_load_estimates(time_point now,
+                              std::span<const capacity::upstream_load> estimates,
+                              bool complete);
+    // Number of upstreams whose load the other VMs have told lately.
+    std::size_t told_loads(time_point now) const;
+
     std::size_t size() const;
     std::vector<upstream_view> views(time_point now) const;
     // Shares of this VM's requests for a service, by data centre of the upstreams.
@@ -368,6 +386,7 @@
         time_point last_answer;
         double remote_load = 0; // requests of other VMs at the last report
         time_point reported_at;
+        internal::shared_load shared;
         double slowness = 1; // work relative to the mean of the service
         time_point sampled_at;
         object_memory objects;
@@ -392,6 +411,7 @@
         internal::learned_time unknown_time;
         internal::learned_time mean_time;
         duration cold_time{0};
+        bool shares_load = false;
         double cold_rate = 0;
         double demand = 0; // requests per second at this VM that may run in any region
         std::map<std::string, double> regional; // must run in this region
@@ -428,6 +448,8 @@
     const upstream* find(std::string_view id) const;
     service_group& group_of(const std::string& service);
     double load_of(time_point now, const upstream& target) const;
+    bool shares_load(const upstream& target) const;
+    void note_load(time_point now, upstream& target, const load_report& report);
     double slowness_of(time_point now, const upstream& target) const;
     double network_time_to(const upstream& target) const;
     void estimate(time_point now, candidate& choice, std::size_t rank,
--- a/pistachiospan/world/world.cpp
+++ b/pistachiospan/world/world.cpp
@@ -105,15 +105,19 @@
 void world::add_upstream(std::size_t index)
 {
     const std::string id = "u" + std::to_string(index);
-    const upstreams::entry registration{.id = id,
-                                        .service = service,
-                                        .address = id,
-                                        .data_centre = this->data_centre_name(index),
-                                        .slots = this->options.slots,
-                                        .started = 1};
+    const upstreams::entry registration{
+        .id = id,
+        .service = service,
+        .address = id,
+        .data_centre = this->data_centre_name(this->options.upstream_places.empty()
+                                                  ? index
+                                                  : this->options.upstream_places[index]),
+        .slots = this->options.slots,
+        .started = 1};
     this->servers.push_back(std::make_unique<upstream>(
         this->events, this->random,
         upstream_options{.registration = registration,
+                         .max_queued = this->options.max_queued,
                          .on_crash = [this, index]
                          {
                              this->events.after(crash_time, [this, index]
@@ -141,7 +145,9 @@
     vm.told_at.clear();
     vm.process = std::make_unique<steering::core>(
         steering::core_options{
-            .upstreams = {.seed = hash_bytes(vm.id.value), .data_centre = vm.data_centre},
+            .upstreams = {.seed = hash_bytes(vm.id.value),
+                          .data_centre = vm.data_centre,
+                          .shared_capacity = this->options.shared_capacity},
             .gateway = {.retry_ratio = this->options.retry_ratio, .seed = at},
             .fleet = {.vm = vm.id,
                       .started = vm.started,
@@ -440,6 +446,9 @@
     const auto found = this->requests.extract(id);
     if (const auto* refused = std::any_cast<gateway::refusal_answer>(&answer))
     {
+        caller_request_outcome& outcome = this->request_outcomes[found.mapped().outcome];
+        outcome.reason = refused->reason;
+        outcome.elapsed = this->now() - found.mapped().sent_at;
         ++this->counts.refused;
         ++this->counts.reasons[refused->reason];
         return;
@@ -447,7 +456,9 @@
     ++this->counts.answered;
     const duration elapsed = this->now() - found.mapped().sent_at;
     this->counts.on_time += elapsed <= this->options.objective ? 1 : 0;
-    this->request_outcomes[found.mapped().outcome].answered = true;
+    caller_request_outcome& outcome = this->request_outcomes[found.mapped().outcome];
+    outcome.answered = true;
+    outcome.elapsed = elapsed;
 }
 
 void world::forward(std::size_t at, gateway::exchange_id id, const std::string& address,
@@ -670,7 +681,8 @@
                           .account = account,
                           .sent_at = this->now(),
                           .outcome = this->request_outcomes.size()};
-    this->request_outcomes.push_back({.sent_at = this->now(), .vm = at});
+    this->request_outcomes.push_back(
+        {.sent_at = this->now(), .vm = at, .account = account});
     this->submit_to(at, id, deadline, false);
 }
 
--- a/pistachiospan/world/world.hpp
+++ b/pistachiospan/world/world.hpp
@@ -25,10 +25,14 @@
 {
     std::uint64_t seed = 1;
     std::size_t regions = 3;
-    std::size_t data_centres = 6;     // dealt to the regions in turn
-    std::size_t vms = 9;              // dealt to the data centres in turn
-    std::size_t upstreams = 16;       // of one service, dealt to the data centres in turn
-    std::uint32_t slots = 5;          // of each upstream
+    std::size_t data_centres = 6; // dealt to the regions in turn
+    std::size_t vms = 9;          // dealt to the data centres in turn
+    std::size_t upstreams = 16;   // of one service, dealt to the data centres in turn
+    // Index of the data centre of each upstream; empty: dealt in turn.
+    std::vector<std::size_t> upstream_places = {};
+    std::uint32_t slots = 5;     // of each upstream
+    std::size_t max_queued = 10; // requests at an upstream beyond its slots
+    bool shared_capacity = false;
     double requests_per_second = 300; // on an open route
     // Their requests come in addition, each at `account_load` times its rate.
     std::vector<configuration::account> accounts;
@@ -95,7 +99,10 @@
 {
     time_point sent_at;
     std::size_t vm = 0;
+    std::string account;
     bool answered = false; // by an upstream
+    gateway::refusal reason = gateway::refusal::none;
+    duration elapsed{0}; // until its end
 };
 
 // What the callers saw.
