--- a/pistachiospan/upstream_client/upstream_client_test.cpp
+++ b/pistachiospan/upstream_client/upstream_client_test.cpp
@@ -246,8 +246,9 @@
              {"", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n"})
             BOOST_TEST_CONTEXT("status " << status << ", " << fields)
             {
-                script = {"HTTP/1.1 " + status + " Name\r\nX-Request-Id: r1\r\n" +
-                          fields + "\r\n0\r\n\r\n"};
+                std::string bytes = "HTTP/1.1 " + status;
+                bytes += " Name\r\nX-Request-Id: r1\r\n" + fields;
+                script = {bytes + "\r\n0\r\n\r\n"};
                 next_response = 0;
                 client upstreams(base, {});
                 const result<response> outcome = call(upstreams);
