Read replies of peers to their end after a write error

Cause: the client of peer_transport ended its connection at the first error. A complete reply that came before the whole request was sent, and was followed by a reset, was lost: the write fails first, and the reply was not read any more.

Change: after an error of writing alone, the client reads what has arrived. The end of reading ends the connection, as before. The server still ends at once.

No form was wrongly taken for complete before: nghttp2 checks lengths and statuses, only the end of a stream completes a reply, and a stream over the limit gets no further events once its reset is submitted.

--- a/pistachiospan/peer_transport/internal/connection.cpp
+++ b/pistachiospan/peer_transport/internal/connection.cpp
@@ -236,6 +236,11 @@
         this->flush();
         return;
     }
+    // Only writing failed. What arrived before the reset is read to its end first,
+    // because a reply may be complete. Requests of a lost peer are not worth serving.
+    const bool is_readable = this->is_connected && (what & BEV_EVENT_READING) == 0;
+    if (this->kind == role::client && is_readable)
+        return;
     this->end();
 }
 
--- a/pistachiospan/peer_transport/peer_transport_test.cpp
+++ b/pistachiospan/peer_transport/peer_transport_test.cpp
@@ -3,10 +3,17 @@
 
 #include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <nghttp2/nghttp2.h>
 #include <unistd.h>
 
+#include <map>
+#include <optional>
+#include <utility>
+
 using namespace pistachiospan;
 using namespace pistachiospan::peer_transport;
 
@@ -51,6 +58,124 @@
             }};
 }
 
+using fields = std::vector<std::pair<std::string, std::string>>;
+
+constexpr std::size_t max_reply = 1000; // bytes
+constexpr std::uint8_t end_stream = NGHTTP2_FLAG_END_STREAM;
+
+// An HTTP/2 frame of the client's first stream, or of the connection.
+std::string frame(std::uint8_t type, std::uint8_t flags, const std::string& payload,
+                  char stream_id = 1)
+{
+    std::string bytes;
+    for (const unsigned shift : {16U, 8U, 0U})
+        bytes += static_cast<char>(payload.size() >> shift);
+    bytes += static_cast<char>(type);
+    bytes += static_cast<char>(flags);
+    bytes += std::string(3, '\0') + stream_id;
+    return bytes + payload;
+}
+
+// Fields as HPACK literals without indexing, so that any value can be sent.
+std::string headers_frame(const fields& all, std::uint8_t flags)
+{
+    std::string block;
+    for (const auto& [name, value] : all)
+    {
+        block += '\0';
+        block += static_cast<char>(name.size());
+        block += name;
+        block += static_cast<char>(value.size());
+        block += value;
+    }
+    return frame(NGHTTP2_HEADERS, flags | NGHTTP2_FLAG_END_HEADERS, block);
+}
+
+std::string data_frame(const std::string& bytes, std::uint8_t flags)
+{
+    return frame(NGHTTP2_DATA, flags, bytes);
+}
+
+std::string reset_frame(std::uint32_t code)
+{
+    return frame(NGHTTP2_RST_STREAM, 0, std::string(3, '\0') + static_cast<char>(code));
+}
+
+enum class after_reply
+{
+    keep_open,
+    close,
+    reset,
+};
+
+// Answers the first bytes of each connection with fixed frames.
+struct scripted_peer
+{
+    scripted_peer(event_base* base, std::string frames, after_reply next)
+        : frames(std::move(frames)), next(next)
+    {
+        sockaddr_storage local{};
+        int size = sizeof(local);
+        evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&local),
+                                   &size);
+        listener = evconnlistener_new_bind(base, &scripted_peer::accept, this,
+                                           LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                           reinterpret_cast<sockaddr*>(&local), size);
+        BOOST_TEST_REQUIRE(listener != nullptr);
+    }
+
+    ~scripted_peer()
+    {
+        evconnlistener_free(listener);
+        if (connection != nullptr)
+            bufferevent_free(connection);
+    }
+
+    scripted_peer(const scripted_peer&) = delete;
+    scripted_peer& operator=(const scripted_peer&) = delete;
+
+    static void accept(evconnlistener* from, evutil_socket_t socket, sockaddr*, int,
+                       void* user)
+    {
+        auto* self = static_cast<scripted_peer*>(user);
+        self->connection = bufferevent_socket_new(evconnlistener_get_base(from), socket,
+                                                  BEV_OPT_CLOSE_ON_FREE);
+        bufferevent_setcb(
+            self->connection,
+            [](bufferevent*, void* peer) { static_cast<scripted_peer*>(peer)->reply(); },
+            [](bufferevent*, void* peer) { static_cast<scripted_peer*>(peer)->end(); },
+            nullptr, user);
+        bufferevent_enable(self->connection, EV_READ);
+    }
+
+    void reply()
+    {
+        evbuffer* input = bufferevent_get_input(connection);
+        evbuffer_drain(input, evbuffer_get_length(input));
+        if (std::exchange(has_replied, true))
+            return;
+        const std::string bytes = frame(NGHTTP2_SETTINGS, 0, "", 0) + frames;
+        bufferevent_write(connection, bytes.data(), bytes.size());
+    }
+
+    void end()
+    {
+        if (next == after_reply::keep_open)
+            return;
+        const linger zero_linger{.l_onoff = 1, .l_linger = 0};
+        if (next == after_reply::reset)
+            setsockopt(bufferevent_getfd(connection), SOL_SOCKET, SO_LINGER, &zero_linger,
+                       sizeof(zero_linger));
+        bufferevent_free(std::exchange(connection, nullptr));
+    }
+
+    std::string frames;
+    after_reply next;
+    evconnlistener* listener = nullptr;
+    bufferevent* connection = nullptr;
+    bool has_replied = false;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(a_request_gets_the_reply_of_its_own_stream, loop)
@@ -171,6 +296,118 @@
     BOOST_TEST((reply.error().code == errc::timeout));
 }
 
+// A reply of several frames, and what the client must make of it.
+struct reply_form
+{
+    const char* what;
+    std::string frames;
+    std::optional<std::string> body; // nullopt: not a complete reply
+};
+
+// Every way in which a reply may end. Guards against a part of a body that is passed on
+// as a reply: cut off by a reset of the stream or of the connection, shorter or longer
+// than its length, or over the limit.
+BOOST_FIXTURE_TEST_CASE(only_replies_that_their_stream_ends_are_complete, loop)
+{
+    const std::string ok = headers_frame({{":status", "200"}}, 0);
+    const std::string sized =
+        headers_frame({{":status", "200"}, {"content-length", "5"}}, 0);
+    const std::string large(max_reply, 'x');
+    const std::vector<reply_form> forms{
+        {"body", ok + data_frame("hello", end_stream), "hello"},
+        {"body in two frames", ok + data_frame("he", 0) + data_frame("llo", end_stream),
+         "hello"},
+        {"body with its length", sized + data_frame("hello", end_stream), "hello"},
+        {"no body", headers_frame({{":status", "200"}}, end_stream), ""},
+        {"fields after the body",
+         ok + data_frame("hello", 0) + headers_frame({{"a", "b"}}, end_stream), "hello"},
+        {"interim reply before",
+         headers_frame({{":status", "103"}}, 0) + ok + data_frame("hello", end_stream),
+         "hello"},
+        {"largest body", ok + data_frame(large, end_stream), large},
+        {"reset after the end",
+         ok + data_frame("hello", end_stream) + reset_frame(NGHTTP2_NO_ERROR), "hello"},
+        {"no end", ok + data_frame("hello", 0), std::nullopt},
+        {"no end of the head", ok.substr(0, ok.size() - 1), std::nullopt},
+        {"no end of a frame", ok + data_frame("hello", end_stream).substr(0, 12),
+         std::nullopt},
+        {"stream cancelled", ok + data_frame("hello", 0) + reset_frame(NGHTTP2_CANCEL),
+         std::nullopt},
+        {"stream ended by a reset without an error",
+         ok + data_frame("hello", 0) + reset_frame(NGHTTP2_NO_ERROR), std::nullopt},
+        {"shorter than its length", sized + data_frame("hell", end_stream), std::nullopt},
+        {"longer than its length", sized + data_frame("hello!", end_stream),
+         std::nullopt},
+        {"no body in spite of a length",
+         headers_frame({{":status", "200"}, {"content-length", "5"}}, end_stream),
+         std::nullopt},
+        {"over the limit", ok + data_frame(large + "x", end_stream), std::nullopt},
+        {"over the limit in the middle",
+         ok + data_frame("a", 0) + data_frame(large, 0) + data_frame("b", end_stream),
+         std::nullopt}};
+    // A large request is still being sent when its reply comes.
+    for (const std::size_t request_size : {std::size_t{1}, std::size_t{8} << 20U})
+        for (const bool reset : {false, true})
+            for (const reply_form& form : forms)
+                BOOST_TEST_CONTEXT(form.what << (reset ? "; reset; " : "; closed; ")
+                                             << request_size << " bytes sent")
+                {
+                    const scripted_peer peer(base, form.frames,
+                                             reset ? after_reply::reset
+                                                   : after_reply::close);
+                    peer_client client(base, {.address = address, .max_body = max_reply});
+                    const result<std::string> reply =
+                        call(client, "/a", std::string(request_size, 'r'));
+                    BOOST_TEST(reply.has_value() == form.body.has_value());
+                    if (reply && form.body)
+                        BOOST_TEST((reply.value() == *form.body));
+                    else if (!reply)
+                        BOOST_TEST((reply.error().code == errc::unknown_outcome));
+                }
+}
+
+// Guards against a status that is no success being passed on as a reply, and against
+// waiting for another reply after it.
+BOOST_FIXTURE_TEST_CASE(only_success_is_a_reply, loop)
+{
+    for (const std::string status :
+         {"0",   "00",  "000",  "001", "099", "100",  "101",  "103",  "199",  "201",
+          "204", "304", "404",  "500", "599", "600",  "999",  "1000", "2000", "0200",
+          "20",  "2x0", "200x", "+20", "-20", " 200", "200 ", ""})
+        for (const bool with_body : {false, true})
+            BOOST_TEST_CONTEXT("status \"" << status << "\""
+                                           << (with_body ? ", body" : ""))
+            {
+                const std::string frames =
+                    headers_frame({{":status", status}}, with_body ? 0 : end_stream) +
+                    (with_body ? data_frame("hello", end_stream) : "");
+                const scripted_peer peer(base, frames, after_reply::keep_open);
+                peer_client client(base, {.address = address});
+                const result<std::string> reply = call(client, "/a", "1");
+                BOOST_TEST_REQUIRE(!reply.has_value());
+                BOOST_TEST((reply.error().code == errc::unknown_outcome));
+            }
+}
+
+// Guards against serving a part of a request whose body is over the limit.
+BOOST_FIXTURE_TEST_CASE(request_over_the_limit_is_not_served, loop)
+{
+    std::vector<std::string> served;
+    peer_server server(base, {.address = address,
+                              .max_body = 1000,
+                              .on_request = [&](auto, std::string body, const auto& reply)
+                              {
+                                  served.push_back(std::move(body));
+                                  reply(std::string("ok"));
+                              }});
+    peer_client client(base, {.address = address});
+    BOOST_TEST(!call(client, "/u", std::string(5000, 'x')).has_value());
+    BOOST_TEST(!call(client, "/u", std::string(100'000, 'x')).has_value());
+    BOOST_TEST(call(client, "/u", "small").has_value());
+    BOOST_TEST(served == std::vector<std::string>{"small"},
+               boost::test_tools::per_element());
+}
+
 // Guards against a crash on bytes that are not HTTP/2, and against effects on other
 // connections.
 BOOST_FIXTURE_TEST_CASE(bytes_of_another_protocol_end_the_connection_only, loop)
