--- a/pistachiospan/http1/broken_answers_test.cpp
+++ b/pistachiospan/http1/broken_answers_test.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <event2/event.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,8 +22,6 @@
 namespace
 {
 
-const std::string address = "127.0.0.1:18934";
-
 // More than one read of the client's buffers takes, less than a socket buffers.
 constexpr std::size_t answer_size = 40'000;
 // More than the sockets of both ends buffer.
@@ -133,13 +132,16 @@
 {
     explicit plain_upstream(upload sent) : listener(::socket(AF_INET, SOCK_STREAM, 0))
     {
-        const int on = 1;
-        setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        const int smallest = 1;
         if (sent == upload::in_socket)
-            setsockopt(this->listener, SOL_SOCKET, SO_RCVBUF, &on, sizeof(on));
-        const sockaddr_in local = http1::internal::parse_address(address);
-        BOOST_TEST_REQUIRE(bind(this->listener, reinterpret_cast<const sockaddr*>(&local),
-                                sizeof(local)) == 0);
+            setsockopt(this->listener, SOL_SOCKET, SO_RCVBUF, &smallest,
+                       sizeof(smallest));
+        sockaddr_in local{.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+        auto* const generic = reinterpret_cast<sockaddr*>(&local);
+        socklen_t size = sizeof(local);
+        BOOST_TEST_REQUIRE(bind(this->listener, generic, size) == 0);
+        BOOST_TEST_REQUIRE(getsockname(this->listener, generic, &size) == 0);
+        this->address = "127.0.0.1:" + std::to_string(ntohs(local.sin_port));
         BOOST_TEST_REQUIRE(listen(this->listener, 4) == 0);
     }
     ~plain_upstream()
@@ -189,6 +191,7 @@
     }
 
     int listener;
+    std::string address; // on a free port
     int socket = -1;
     std::string received;
 };
@@ -222,7 +225,7 @@
 
     void start(std::size_t body_size, duration timeout = 2s)
     {
-        this->client.send(address,
+        this->client.send(this->upstream.address,
                           {.method = "POST",
                            .target = "/x",
                            .headers = {{"Id", "7"}},
@@ -325,7 +328,8 @@
                 played.run([&] { return played.outcome.has_value(); });
                 BOOST_TEST_REQUIRE(played.outcome.has_value());
                 BOOST_TEST((played.outcome->end == call_end::answered));
-                played.client.send(address, {.method = "GET", .target = "/y"}, {},
+                played.client.send(played.upstream.address,
+                                   {.method = "GET", .target = "/y"}, {},
                                    [](const http1::call_result&) {});
                 BOOST_TEST(played.client.connections_opened() ==
                            (sent == upload::whole ? 1U : 2U));
@@ -353,7 +357,7 @@
     played.run([&] { return played.outcome.has_value(); });
     BOOST_TEST_REQUIRE(played.outcome.has_value());
     BOOST_TEST((played.outcome->end == call_end::answered));
-    played.client.send(address, {.method = "GET", .target = "/y"}, {},
+    played.client.send(played.upstream.address, {.method = "GET", .target = "/y"}, {},
                        [](const http1::call_result&) {});
     BOOST_TEST(played.client.connections_opened() == 2U);
 }
