Take only a length or chunks for framing in store_http

Cause: a response of the store with any Transfer-Encoding counted as framed. evhttp reads a body with an unknown coding until its connection ends, so a part of it could count as the answer to a read or a write.

Change: the coding must be chunked, otherwise a length is needed.

Measured: doubtful_answers_to_writes_are_unknown_outcomes, with such a response added, failed for the read and the write before; standin_platform_test passes.

--- a/pistachiospan/store_http/internal/http_client.cpp
+++ b/pistachiospan/store_http/internal/http_client.cpp
@@ -58,6 +58,17 @@
            nullptr;
 }
 
+// True if the end of the response can be verified. evhttp reads a body with a coding
+// other than chunked until its connection ends.
+bool is_framed(evhttp_request* http_response)
+{
+    const char* const coding = evhttp_find_header(
+        evhttp_request_get_input_headers(http_response), "Transfer-Encoding");
+    if (coding != nullptr)
+        return evutil_ascii_strcasecmp(coding, "chunked") == 0;
+    return has_header(http_response, "Content-Length");
+}
+
 std::string take_body(evhttp_request* http_response)
 {
     evbuffer* const input = evhttp_request_get_input_buffer(http_response);
@@ -279,8 +290,7 @@
     if (status < 200 || status >= 300)
         return no_response_error(target_slot, status_text);
     // Without a length, a truncated response looks like a complete one.
-    if (!has_header(http_response, "Content-Length") &&
-        !has_header(http_response, "Transfer-Encoding"))
+    if (!is_framed(http_response))
         return no_response_error(target_slot, "response without a length");
     return take_body(http_response);
 }
--- a/standin/platform/platform_test.cpp
+++ b/standin/platform/platform_test.cpp
@@ -228,6 +228,13 @@
         call->answer_truncated({.body = R"({"committed":true,"rows":[],"row":null})"});
     };
     expect(errc::unknown_outcome, errc::unavailable);
+    // evhttp reads a body with an unknown coding until its connection ends.
+    reply = [](const exchange_ptr& call)
+    {
+        call->answer({.headers = {{"Transfer-Encoding", "gzip"}, {"Connection", "close"}},
+                      .body = R"({"committed":true,"rows":[],"row":null})"});
+    };
+    expect(errc::unknown_outcome, errc::unavailable);
     reply = [](const exchange_ptr& call)
     {
         call->answer({.status = 503, .headers = {{"X-Not-Run", "1"}}});
