--- a/pistachiospan/upstream_client/upstream_client.hpp
+++ b/pistachiospan/upstream_client/upstream_client.hpp
@@ -8,8 +8,8 @@
 //     upstreams.cancel(call); // closes the connection, which the upstream can see
 //
 // Only complete responses to the request are passed on: a response without framing, a
-// truncated one, or one with another request id is an error, and its connection is
-// closed.
+// truncated one, one with a status outside 200 to 599, or one with another request id is
+// an error, and its connection is closed.
 
 #ifndef PISTACHIOSPAN_UPSTREAM_CLIENT_UPSTREAM_CLIENT_HPP
 #define PISTACHIOSPAN_UPSTREAM_CLIENT_UPSTREAM_CLIENT_HPP
