Test pauses within a request and stops without a held one

Found by mutations of the server: a header timeout that runs while reading is paused, or while a small order is held, and a stop that does not concern present requests failed no test.

--- a/pistachiospan/http1/pipeline_test.cpp
+++ b/pistachiospan/http1/pipeline_test.cpp
@@ -214,21 +214,27 @@
 // answered, and against one that is read into memory while it waits.
 BOOST_AUTO_TEST_CASE(order_waits_for_all_earlier_answers)
 {
-    fixture all({.header_timeout = 100ms});
-    all.send(get("/read1") + get("/read2") + post("/order", std::string(100000, 'x')) +
-             get("/read3"));
-    BOOST_TEST(all.targets() == "/read1 /read2 ");
-    all.answer("/read2");
-    // Longer than the header timeout, which must not run while the server does not read.
-    all.run_for(300ms);
-    BOOST_TEST(all.targets() == "/read1 /read2 ");
-    all.answer("/read1");
-    BOOST_TEST(all.targets() == "/read1 /read2 /order /read3 ");
-    BOOST_TEST(all.received[2].body.size() == 100000U);
-    all.answer("/read3");
-    all.answer("/order");
-    BOOST_TEST(all.answered() == "200/read1 200/read2 200/order 200/read3 ");
-    BOOST_TEST(all.server.pipelining().held == 1U);
+    for (const std::size_t size : {1, 100000})
+    {
+        fixture all({.header_timeout = 100ms});
+        const std::string order = post("/order", std::string(size, 'x'));
+        all.send(get("/read1") + get("/read2") + order.substr(0, 20));
+        BOOST_TEST(all.targets() == "/read1 /read2 ");
+        all.send(order.substr(20) + get("/read3"));
+        BOOST_TEST(all.targets() == "/read1 /read2 ");
+        all.answer("/read2");
+        // Longer than the header timeout, which must not run while the server does not
+        // read.
+        all.run_for(300ms);
+        BOOST_TEST(all.targets() == "/read1 /read2 ");
+        all.answer("/read1");
+        BOOST_TEST(all.targets() == "/read1 /read2 /order /read3 ");
+        BOOST_TEST(all.received[2].body.size() == size);
+        all.answer("/read3");
+        all.answer("/order");
+        BOOST_TEST(all.answered() == "200/read1 200/read2 200/order 200/read3 ");
+        BOOST_TEST(all.server.pipelining().held == 1U);
+    }
 }
 
 // Guards against the waiting order that runs although an earlier answer has closed the
@@ -388,20 +394,23 @@
 // against a connection that never closes because its caller keeps sending.
 BOOST_AUTO_TEST_CASE(stop_answers_what_was_passed_on)
 {
-    fixture all;
-    all.send(get("/read1") + get("/read2") + post("/order", "x"));
-    BOOST_TEST(all.targets() == "/read1 /read2 ");
-    all.run_for(600ms); // longer than a connection must be idle to be closed
-    all.server.begin_drain();
-    all.send(get("/read3"));
-    all.server.stop_accepting();
-    all.server.close_idle();
-    BOOST_TEST(all.targets() == "/read1 /read2 ");
-    all.answer("/read2");
-    all.server.close_idle();
-    all.answer("/read1");
-    BOOST_TEST(all.answered() == "200/read1 200/read2! ");
-    BOOST_TEST(all.ended);
+    for (const std::string& held : {std::string(), post("/order", "x")})
+    {
+        fixture all;
+        all.send(get("/read1") + get("/read2") + held);
+        BOOST_TEST(all.targets() == "/read1 /read2 ");
+        all.run_for(600ms); // longer than a connection must be idle to be closed
+        all.server.begin_drain();
+        all.send(get("/read3"));
+        BOOST_TEST(all.targets() == "/read1 /read2 ");
+        all.server.stop_accepting();
+        all.server.close_idle();
+        all.answer("/read2");
+        all.server.close_idle();
+        all.answer("/read1");
+        BOOST_TEST(all.answered() == "200/read1 200/read2! ");
+        BOOST_TEST(all.ended);
+    }
 }
 
 // Guards against a stop that cuts off a request which is still being read, one that
@@ -472,6 +481,22 @@
     BOOST_TEST(all.pauses.size() == 1U);
 }
 
+// Guards against a request that is refused as unfinished because reading was paused in
+// the middle of it.
+BOOST_AUTO_TEST_CASE(header_timeout_does_not_run_during_a_pause)
+{
+    fixture all({.header_timeout = 150ms, .max_waiting_answers = 1000});
+    all.send(get("/read1") + get("/read2") + get("/read3").substr(0, 10));
+    BOOST_TEST(all.receives(2));
+    all.server.respond(all.ids["/read2"],
+                       {.status = 200, .body = std::string(2000, 'x')});
+    all.send(get("/read3").substr(10));
+    all.run_for(400ms);
+    BOOST_TEST(all.received.size() == 2U);
+    all.answer("/read1");
+    BOOST_TEST(all.targets() == "/read1 /read2 /read3 ");
+}
+
 // A caller sends thousands of requests and reads no answer. Guards against answers that
 // take memory without bound, and against a connection that does not go on when it reads.
 BOOST_AUTO_TEST_CASE(caller_that_does_not_read_is_not_read_either)
