Let a known load fall with its age, and count abandoned requests

All VMs learn at the same time that an upstream has become free, and filled its queue together before the next news. A load now falls no faster than with its age. Requests that a VM gave up on count for two seconds more, because they may still wait in the upstream's queue.

--- a/pistachiospan/upstreams/internal/shared_load.hpp
+++ b/pistachiospan/upstreams/internal/shared_load.hpp
@@ -13,8 +13,11 @@
     // Of the last answer to this VM.
     std::uint32_t reported = 0;
     time_point reported_at;
+    // Requests that this VM gave up on: the upstream may still have them in its queue.
+    double abandoned = 0; // at `abandoned_at`
+    time_point abandoned_at;
     // Requests of this VM, as told to the other VMs last.
-    std::uint32_t told = 0;
+    double told = 0;
     // Requests of the other VMs by the last estimate.
     double others = 0;
     time_point others_at;
--- a/pistachiospan/upstreams/loads.cpp
+++ b/pistachiospan/upstreams/loads.cpp
@@ -17,6 +17,10 @@
 // Several messages in a row may be lost.
 constexpr duration max_news_age = std::chrono::seconds(6);
 
+// Time constant with which abandoned requests leave an upstream: queues are two seconds
+// long when requests are abandoned at all.
+constexpr duration abandoned_decay_time = std::chrono::seconds(2);
+
 bool has_recent(const internal::shared_load& shared, time_point now)
 {
     return now - shared.others_at <= max_news_age;
@@ -43,7 +47,25 @@
     const bool has_news = has_recent(target.shared, now);
     const duration decay_time =
         has_news ? this->options.shared_decay_time : this->options.report_decay_time;
-    return target.in_flight + others * std::exp(-micros(now - at) / micros(decay_time));
+    return this->own_load(now, target) +
+           others * std::exp(-micros(now - at) / micros(decay_time));
+}
+
+// The requests of this VM that are at the upstream, and those that it gave up on: unless
+// the upstream drops them, they wait in its queue like others.
+double upstream_set::own_load(time_point now, const upstream& target) const
+{
+    const double age = micros(now - target.shared.abandoned_at);
+    return target.in_flight +
+           target.shared.abandoned * std::exp(-age / micros(abandoned_decay_time));
+}
+
+void upstream_set::note_abandoned(time_point now, upstream& target) const
+{
+    if (!this->shares_load(target))
+        return;
+    target.shared.abandoned = this->own_load(now, target) - target.in_flight + 1;
+    target.shared.abandoned_at = now;
 }
 
 void upstream_set::note_load(time_point now, upstream& target, const load_report& report)
@@ -53,6 +75,7 @@
     const std::uint32_t total = report.running + report.waiting;
     target.shared.reported = total;
     target.shared.reported_at = now;
+    target.shared.abandoned = 0;
     // The report may still count the request that it answers.
     target.remote_load = std::max(0.0, static_cast<double>(total) - target.in_flight - 1);
     target.reported_at = now;
@@ -66,13 +89,14 @@
     {
         if (!this->shares_load(*each))
             continue;
-        each->shared.told = each->in_flight;
+        each->shared.told = this->own_load(now, *each);
         const duration age = now - each->shared.reported_at;
-        if (each->in_flight == 0 && age > span)
+        const auto requests = static_cast<std::uint32_t>(std::lround(each->shared.told));
+        if (requests == 0 && age > span)
             continue;
         capacity::upstream_load& load = loads.emplace_back(capacity::upstream_load{
             .upstream = capacity::key_of(id, each->registration.started),
-            .requests = each->in_flight});
+            .requests = requests});
         if (age <= span)
             load.reported = {.requests = each->shared.reported, .age = age};
     }
@@ -95,7 +119,13 @@
         const double total =
             found == by_key.end() ? 0 : static_cast<double>(found->second->requests);
         const duration age = found == by_key.end() ? duration(0) : found->second->age;
-        each->shared.others = std::max(0.0, total - each->shared.told);
+        // All VMs learn that an upstream has become free at the same time. The load falls
+        // no faster than with its age, so that they do not fill the queue together.
+        const double elapsed = micros(now - each->shared.others_at);
+        const double before =
+            each->shared.others *
+            std::exp(-elapsed / micros(this->options.shared_decay_time));
+        each->shared.others = std::max(before, total - each->shared.told);
         each->shared.others_at = now - age;
     }
 }
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -567,6 +567,7 @@
         target->availability.note_answer(now);
         break;
     case outcome::timed_out:
+        this->note_abandoned(now, *target);
         target->availability.note_failure(now, this->options.availability);
         break;
     case outcome::failed:
@@ -586,6 +587,7 @@
         target->reported_at = now;
         break;
     case outcome::cancelled:
+        this->note_abandoned(now, *target);
         break;
     }
 }
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -449,6 +449,8 @@
     service_group& group_of(const std::string& service);
     double load_of(time_point now, const upstream& target) const;
     bool shares_load(const upstream& target) const;
+    double own_load(time_point now, const upstream& target) const;
+    void note_abandoned(time_point now, upstream& target) const;
     void note_load(time_point now, upstream& target, const load_report& report);
     double slowness_of(time_point now, const upstream& target) const;
     double network_time_to(const upstream& target) const;
