Start the restriction of admission from what was taken without it

Cause: the room was judged by what was placed under the restriction itself. Change: the usual rate is followed while nothing is restricted, and told to the coordinator; restriction begins about a second after the first request.

--- a/pistachiospan/admission/admission.hpp
+++ b/pistachiospan/admission/admission.hpp
@@ -216,8 +216,9 @@
 
 struct coordinator_options
 {
-    // Reports of members that are older count no longer.
-    duration report_lifetime = std::chrono::milliseconds(3500);
+    // Reports of members that are older count no longer. Long, because a member that is
+    // missing from the sums changes them more than one whose report is a little old.
+    duration report_lifetime = std::chrono::seconds(5);
 };
 
 // The part of a data centre's coordinator.
--- a/pistachiospan/admission/controller.cpp
+++ b/pistachiospan/admission/controller.cpp
@@ -36,6 +36,10 @@
 constexpr double idle_room_time = 0.3; // seconds
 // Longest use of a decision about one account that was not repeated.
 constexpr duration max_told_age = std::chrono::seconds(5);
+// Part of the window that is to be seen before room counts as short: what a service takes
+// in the first moments of a wave says nothing, as it fills empty slots and queues. About
+// a second after the first request.
+constexpr double min_observed = 0.63;
 constexpr duration change_interval = std::chrono::seconds(1);
 
 double seconds(duration span)
@@ -132,7 +136,8 @@
                            .late = state.sums.late / state.observed},
                           demand / state.observed,
                           state.failures >= this->options.min_failures &&
-                              state.observed >= seconds(this->options.window) / 2);
+                              state.observed >=
+                                  seconds(this->options.window) * min_observed);
     if (state.estimate.is_short())
         this->divide_room(state);
     // The sums have decayed as if all requests since the last update had come just after
@@ -318,7 +323,8 @@
         service_report report{.service = state.id,
                               .room = {.placed = state.sums.placed / observed,
                                        .failed = state.sums.failed / observed,
-                                       .late = state.sums.late / observed}};
+                                       .late = state.sums.late / observed,
+                                       .usual = state.estimate.usual()}};
         for (const auto& [key, each] : state.flows)
             report.flows.push_back({.key = key,
                                     .demand = each.demand / observed,
--- a/pistachiospan/admission/coordinator.cpp
+++ b/pistachiospan/admission/coordinator.cpp
@@ -43,6 +43,7 @@
             sum.room.placed += each.room.placed;
             sum.room.failed += each.room.failed;
             sum.room.late += each.room.late;
+            sum.room.usual += each.room.usual;
             for (const flow_demand& own : each.flows)
             {
                 flow_demand& flow = sum.flows[own.key];
@@ -63,8 +64,11 @@
             flows.push_back(each);
             flows.back().cost = each.cost > 0 ? each.demand / each.cost : 0;
         }
-        service_decision& decision = this->decisions[id];
+        const auto [found, is_new] = this->decisions.try_emplace(id);
+        service_decision& decision = found->second;
         decision.estimate.update(now, sum.room, demand, true);
+        if (is_new)
+            decision.estimate.start_from(sum.room.usual);
         const double room = decision.estimate.room();
         const internal::division divided = internal::divide(room, flows);
         decision.news = {.service = id,
--- a/pistachiospan/admission/internal/room.cpp
+++ b/pistachiospan/admission/internal/room.cpp
@@ -32,7 +32,7 @@
 constexpr double fall_time = 1;
 // From this growth on, a lower rate is taken for what the service can do now.
 constexpr double accepting_growth = 1.6;
-constexpr double usual_rise_time = 2; // time constants, in seconds
+constexpr double usual_rise_time = 4; // time constants, in seconds
 constexpr double usual_fall_time = 0.7;
 // Part of the late slot time that counts as not placed. Small: a late answer still uses
 // the slot, and less than a tenth may be withheld from a service that is only slow.
@@ -55,12 +55,11 @@
     const double passed = std::chrono::duration<double>(std::min(step, max_step)).count();
     const double placed = std::max(seen.placed - late_weight * seen.late, 0.0);
     if (step > max_step || this->growth <= 0)
-    {
-        // Not what is placed now: the first requests fill empty slots and queues, at a
-        // rate that does not last.
-        this->usual_placed = 0;
         this->growth = min_growth;
-    }
+    // Without restriction. The rate may be higher then than with it: of many requests,
+    // those that take the least time find room.
+    if (!this->active)
+        this->usual_placed = placed;
     const double least =
         min_growth + small_room_growth / std::max(this->usual_placed, 1.0);
     const bool is_low = placed < usual_part * this->usual_placed;
--- a/pistachiospan/admission/internal/room.hpp
+++ b/pistachiospan/admission/internal/room.hpp
@@ -6,6 +6,8 @@
 
 #include "pistachiospan/base/base.hpp"
 
+#include <algorithm>
+
 namespace pistachiospan::admission
 {
 
@@ -15,6 +17,8 @@
     double placed = 0; // sent to upstreams that did not refuse them
     double failed = 0; // refused for lack of room, by this VM or by an upstream
     double late = 0;   // of `placed`: answered after the objective because of waiting
+    // Placed lately while more was wanted; see internal::room_estimate.
+    double usual = 0;
     bool operator==(const room_figures&) const = default;
 };
 
@@ -36,6 +40,16 @@
     {
         return this->active;
     }
+    // The rate that the service took when more was wanted, as far as it is known. Another
+    // VM's estimate of the same room may start from it.
+    double usual() const
+    {
+        return this->usual_placed;
+    }
+    void start_from(double usual)
+    {
+        this->usual_placed = std::max(this->usual_placed, usual);
+    }
     // The rate of slot time to admit.
     double room() const
     {
--- a/pistachiospan/admission/messages.cpp
+++ b/pistachiospan/admission/messages.cpp
@@ -1,9 +1,9 @@
 // MessagePack encoding of what VMs tell each other about admission. Reports: an array of
-// services (hash of the name, placed, failed, late, flows), each flow an array (hash of
-// the account, priority, demand, time of one request). News: an array of services (hash,
-// whether it is restricted, level, share, room, flows), each flow an array (hash,
-// priority, what passes in thousandths). Rates are in thousandths of a slot, times in
-// milliseconds.
+// services (hash of the name, placed, failed, late, usual, flows), each flow an array
+// (hash of the account, priority, demand, time of one request). News: an array of
+// services (hash, whether it is restricted, level, share, room, flows), each flow an
+// array (hash, priority, what passes in thousandths). Rates are in thousandths of a slot,
+// times in milliseconds.
 
 #include "pistachiospan/admission/admission.hpp"
 
@@ -50,8 +50,9 @@
     service_report report{.service = fields.at(0).get<std::uint32_t>(),
                           .room = {.placed = from_thousandths(fields.at(1)),
                                    .failed = from_thousandths(fields.at(2)),
-                                   .late = from_thousandths(fields.at(3))}};
-    for (const nlohmann::json& each : checked_flows(fields.at(4)))
+                                   .late = from_thousandths(fields.at(3)),
+                                   .usual = from_thousandths(fields.at(4))}};
+    for (const nlohmann::json& each : checked_flows(fields.at(5)))
         report.flows.push_back({.key = decode_key(each),
                                 .demand = from_thousandths(each.at(2)),
                                 .cost = from_thousandths(each.at(3))});
@@ -113,7 +114,7 @@
                              to_thousandths(flow.demand), to_thousandths(flow.cost)});
         all.push_back({each.service, to_thousandths(each.room.placed),
                        to_thousandths(each.room.failed), to_thousandths(each.room.late),
-                       std::move(flows)});
+                       to_thousandths(each.room.usual), std::move(flows)});
     }
     return to_bytes(all);
 }
--- a/pistachiospan/world/world.hpp
+++ b/pistachiospan/world/world.hpp
@@ -45,6 +45,7 @@
     double retry_ratio = 0.2;
     double retry_slack = 40;       // retries, and as many more as the VMs times the next
     double retry_slack_per_vm = 2; // retries
+    bool fair_admission = false;
     double datagram_loss = 0;      // fraction of the datagrams between VMs
     // One way.
     duration within_data_centre = std::chrono::microseconds(100);
