Show that a restart which the store misses is not taken for cold

Change: world models restarts that the store did not report, and a service's cold time and rate. The registry moves to its own file.

--- a/pistachiospan/world/world.cpp
+++ b/pistachiospan/world/world.cpp
@@ -19,18 +19,12 @@
 constexpr duration token_interval = 20ms;
 // From the start of a process until it reads configuration and registry.
 constexpr duration setup_time = 132ms;
-// Calls to the store, one after the other, that this takes.
-constexpr int load_calls = 3;
-// Interval at which a VM that reaches neither the store nor a VM with tables tries again.
-constexpr duration load_retry = 500ms;
 // A VM is bound by a limit this long after it has passed it on, and this long after it
 // was harmed, as the users' rules say.
 constexpr duration told_notice = 500ms;
 constexpr duration contact_time = 3s;
 // Time for an answer of the store.
 constexpr duration store_timeout = 2s;
-// From a change in the registry until the VMs know it.
-constexpr duration registry_delay = 600ms;
 // VMs start within this time of each other.
 constexpr duration start_spread = 300ms;
 
@@ -60,7 +54,9 @@
         each.keys = {each.name};
     return std::make_shared<const configuration::state>(configuration::content{
         .version = 1,
-        .services = {{.name = service}},
+        .services = {{.name = service,
+                      .cold_time = options.cold_time,
+                      .cold_rate = options.cold_rate}},
         .accounts = std::move(accounts),
         .routes = {{.name = "read",
                     .host = host,
@@ -124,6 +120,7 @@
                                                 { this->restart_upstream(index); });
                          }}));
     this->servers_by_id[id] = index;
+    this->registry.push_back(registration);
 }
 
 std::size_t world::add_vm(const std::string& data_centre)
@@ -179,15 +176,6 @@
     std::erase_if(this->calls, [at](const auto& each) { return each.second.vm == at; });
 }
 
-void world::restart_upstream(std::size_t index)
-{
-    this->upstream_at(index).restart();
-    for (std::size_t at = 0; at < this->vms.size(); ++at)
-        this->on_vm(at, registry_delay,
-                    [this, at, index]
-                    { this->register_upstream(at, this->upstream_at(index)); });
-}
-
 // Calls `done` when the store has answered a call of the VM, or has not in time.
 void world::call_store(std::size_t at, std::function<void(bool answered)> done)
 {
@@ -196,44 +184,6 @@
                 [answers, done = std::move(done)] { done(answers); });
 }
 
-// Whether the VM knows another one that it can copy the tables from.
-bool world::reaches_loaded_vm(std::size_t at) const
-{
-    const vm_state& vm = this->vms[at];
-    const auto reader =
-        this->vms_by_address.find(vm.process->fleet().reader(this->now(), store_timeout));
-    if (reader == this->vms_by_address.end())
-        return false;
-    const vm_state& source = this->vms[reader->second];
-    return source.ready && source.side == vm.side;
-}
-
-// Takes configuration and registry from the store, or from another VM.
-void world::load_tables(std::size_t at)
-{
-    if (this->store.available)
-        this->on_vm(at, this->store.latency * load_calls,
-                    [this, at] { this->read_store(at); });
-    else if (this->reaches_loaded_vm(at))
-        this->read_store(at);
-    else
-        this->on_vm(at, load_retry, [this, at] { this->load_tables(at); });
-}
-
-void world::read_store(std::size_t at)
-{
-    vm_state& vm = this->vms[at];
-    for (const auto& each : this->servers)
-        this->register_upstream(at, *each);
-    vm.process->set_configuration(this->active);
-    vm.ready = true;
-}
-
-void world::register_upstream(std::size_t at, const upstream& server)
-{
-    this->vms[at].process->upstreams().update(this->now(), server.registration());
-}
-
 steering::core_hooks world::hooks_of(std::size_t at)
 {
     return {
@@ -553,21 +503,6 @@
         .answered = true, .granted = true, .version = version_of_row()};
 }
 
-void world::keep_store_copy()
-{
-    this->kept = this->stored;
-}
-
-void world::restore_store()
-{
-    this->stored = this->kept;
-    ++this->store_generation;
-    for (std::size_t at = 0; at < this->vms.size(); ++at)
-        this->on_vm(at, registry_delay,
-                    [this, at]
-                    { this->vms[at].process->fleet().note_store_restored(this->now()); });
-}
-
 bool world::is_unharmed(std::size_t vm) const
 {
     const vm_state& state = this->vms[vm];
--- a/pistachiospan/world/world.hpp
+++ b/pistachiospan/world/world.hpp
@@ -47,6 +47,8 @@
     double retry_slack_per_vm = 2; // retries
     bool fair_admission = false;
     double datagram_loss = 0;      // fraction of the datagrams between VMs
+    duration cold_time{0};         // an upstream is cold this long after its start
+    double cold_rate = 0;          // requests per second that a cold one tolerates
     // One way.
     duration within_data_centre = std::chrono::microseconds(100);
     duration within_region = std::chrono::milliseconds(1);
@@ -155,6 +157,8 @@
     void start(std::size_t vm);
     // Ends the process; what it was working on is lost.
     void kill(std::size_t vm);
+    // The upstream starts again under its id. The VMs learn it from the registry, if the
+    // store is available.
     void restart_upstream(std::size_t index);
     // Requests about the object, by this account, crash each upstream that begins to run
     // them; it starts again some seconds later. With false they don't any more.
@@ -173,10 +177,8 @@
     {
         this->surges.at(account) = multiple;
     }
-    void set_store(const store_state& next)
-    {
-        this->store = next;
-    }
+    // When the store is available again, the VMs learn the restarts that it missed.
+    void set_store(const store_state& next);
     // Keeps a copy of the rows that VMs have written to the store.
     void keep_store_copy();
     // The store comes back from the kept copy, in a new generation; what was written
@@ -245,7 +247,8 @@
     void read_store(std::size_t at);
     bool reaches_loaded_vm(std::size_t at) const;
     void call_store(std::size_t at, std::function<void(bool answered)> done);
-    void register_upstream(std::size_t at, const upstream& server);
+    void register_upstream(std::size_t at, std::size_t index);
+    void write_entry(std::size_t index);
     // Runs the action in the VM's present process: delayed while the VM is frozen, never
     // if the process has ended.
     void on_vm(std::size_t at, duration delay, const std::function<void()>& action);
@@ -291,6 +294,7 @@
     std::map<gateway::exchange_id, forwarded_request> forwarded;
     std::vector<std::unique_ptr<upstream>> servers;
     std::map<std::string, std::size_t> servers_by_id;
+    std::vector<upstreams::entry> registry; // of the upstreams, as the store has it
     // What the VMs have written to the store.
     struct store_contents
     {
