Treat an upstream that refuses connections as possibly restarted

Cause: only the registry and headers of usual answers made an upstream cold.

Change: restart_suspicions keeps, for each listed start, the last sign that it has ended and when it was first seen to accept again. From the sign until its service's cold time has passed since then it is cold. VMs tell each other with the upstream notices. A sign counts for other VMs once any upstream has answered a later request, and is dropped if this VM was cut off. An entry of the same start that was written since ends the suspicion.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -479,10 +479,7 @@
 
 void edge_daemon::implementation::log_change(const steering::upstream_event& event)
 {
-    if (event.change == steering::upstream_change::paused)
-        this->metrics.count_pause();
-    else if (event.change != steering::upstream_change::leaving)
-        this->metrics.count_limit();
+    this->metrics.count(event);
     this->log("upstream", internal::fields_of(event));
 }
 
--- a/pistachiospan/edge/internal/metrics.hpp
+++ b/pistachiospan/edge/internal/metrics.hpp
@@ -5,6 +5,7 @@
 #define PISTACHIOSPAN_EDGE_INTERNAL_METRICS_HPP
 
 #include "pistachiospan/gateway/gateway.hpp"
+#include "pistachiospan/steering/steering.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -28,10 +29,9 @@
     void count_read(std::string_view table, bool from_store, bool succeeded);
     // Counts a refusal of an upstream by what shows that it has not run the request.
     void count_upstream_refusal(const gateway::refusal_evidence& evidence);
-    // Counts a refusal with which an upstream requested a pause.
-    void count_pause();
-    // Counts a change of the request limit that an upstream names.
-    void count_limit();
+    // Counts a change of an upstream: a requested pause, a change of the limit that it
+    // names, or of the suspicion that it has restarted.
+    void count(const steering::upstream_event& event);
     // Counts an entry of the registry that names no upstream.
     void count_unreadable_entry();
     // Sets the gauge of this name.
@@ -53,6 +53,7 @@
     prometheus::Family<prometheus::Counter>& upstream_refusals;
     prometheus::Counter& pauses;
     prometheus::Counter& limits;
+    prometheus::Family<prometheus::Counter>& restarts;
     prometheus::Counter& unreadable_entries;
     prometheus::Family<prometheus::Gauge>& gauges;
     prometheus::Family<prometheus::Gauge>& retries;
--- a/pistachiospan/edge/log_fields.cpp
+++ b/pistachiospan/edge/log_fields.cpp
@@ -5,6 +5,33 @@
 namespace pistachiospan::edge::internal
 {
 
+namespace
+{
+
+std::string_view name_of(steering::upstream_change change)
+{
+    switch (change)
+    {
+    case steering::upstream_change::paused:
+        return "paused";
+    case steering::upstream_change::leaving:
+        return "leaving";
+    case steering::upstream_change::limited:
+        return "limited";
+    case steering::upstream_change::limit_ended:
+        return "limit ended";
+    case steering::upstream_change::restart_suspected:
+        return "maybe restarted";
+    case steering::upstream_change::restart_accepted:
+        return "accepts again";
+    case steering::upstream_change::restart_refuted:
+        return "not restarted";
+    }
+    return "unknown";
+}
+
+} // namespace
+
 double to_milliseconds(duration span)
 {
     return static_cast<double>(span.count()) / 1000;
@@ -35,24 +62,13 @@
 
 fields fields_of(const steering::upstream_event& event)
 {
-    fields content = {{"upstream", event.upstream.id}};
-    switch (event.change)
-    {
-    case steering::upstream_change::paused:
-        content["change"] = "paused";
+    const std::string name(name_of(event.change));
+    fields content = {{"upstream", event.upstream.id},
+                      {"change", event.told ? name + ", told" : name}};
+    if (event.change == steering::upstream_change::paused)
         content["pause_ms"] = to_milliseconds(event.pause);
-        break;
-    case steering::upstream_change::leaving:
-        content["change"] = event.told ? "leaving, told" : "leaving";
-        break;
-    case steering::upstream_change::limited:
-        content["change"] = event.told ? "limited, told" : "limited";
+    if (event.change == steering::upstream_change::limited)
         content["limit_per_s"] = event.limit;
-        break;
-    case steering::upstream_change::limit_ended:
-        content["change"] = event.told ? "limit ended, told" : "limit ended";
-        break;
-    }
     return content;
 }
 
--- a/pistachiospan/edge/metrics.cpp
+++ b/pistachiospan/edge/metrics.cpp
@@ -57,6 +57,10 @@
                  .Help("Changes of the request limits that upstreams name")
                  .Register(this->registry)
                  .Add({})),
+      restarts(prometheus::BuildCounter()
+                   .Name("pistachiospan_suspected_restarts_total")
+                   .Help("Changes of the suspicion that an upstream has restarted")
+                   .Register(this->registry)),
       unreadable_entries(prometheus::BuildCounter()
                              .Name("pistachiospan_unreadable_entries_total")
                              .Help("Entries of the registry that name no upstream")
@@ -119,14 +123,29 @@
         .Increment();
 }
 
-void metrics::count_pause()
-{
-    this->pauses.Increment();
-}
-
-void metrics::count_limit()
+void metrics::count(const steering::upstream_event& event)
 {
-    this->limits.Increment();
+    switch (event.change)
+    {
+    case steering::upstream_change::paused:
+        this->pauses.Increment();
+        return;
+    case steering::upstream_change::leaving:
+        return;
+    case steering::upstream_change::limited:
+    case steering::upstream_change::limit_ended:
+        this->limits.Increment();
+        return;
+    case steering::upstream_change::restart_suspected:
+        this->restarts.Add({{"change", "suspected"}}).Increment();
+        return;
+    case steering::upstream_change::restart_accepted:
+        this->restarts.Add({{"change", "accepted"}}).Increment();
+        return;
+    case steering::upstream_change::restart_refuted:
+        this->restarts.Add({{"change", "refuted"}}).Increment();
+        return;
+    }
 }
 
 void metrics::count_unreadable_entry()
--- a/pistachiospan/fleet/fleet.hpp
+++ b/pistachiospan/fleet/fleet.hpp
@@ -112,10 +112,12 @@
     std::vector<upstreams::limit_notice> limits;
     std::vector<upstreams::leaving_notice> leaving;
     std::vector<quarantine::suspect_notice> suspects;
+    std::vector<upstreams::restart_notice> restarts;
     bool operator==(const upstream_notices&) const = default;
     bool empty() const
     {
-        return this->limits.empty() && this->leaving.empty() && this->suspects.empty();
+        return this->limits.empty() && this->leaving.empty() && this->suspects.empty() &&
+               this->restarts.empty();
     }
 };
 
--- a/pistachiospan/fleet/upstream_notices.cpp
+++ b/pistachiospan/fleet/upstream_notices.cpp
@@ -1,7 +1,8 @@
 // MessagePack encoding of upstream notices: an array of limits (id, start, requests per
-// second or nil, age in milliseconds), one of leaving upstreams (id, start, age) and one
-// of suspects (the two halves of the fingerprint, strikes, clearances), which VMs of an
-// earlier version neither send nor read.
+// second or nil, age in milliseconds), one of leaving upstreams (id, start, age), one of
+// suspects (the two halves of the fingerprint, strikes, clearances) and one of suspected
+// restarts (id, start, age of the sign, age of the first acceptance or nil). VMs of
+// earlier versions neither send nor read the last two, or the last one.
 
 #include "pistachiospan/fleet/fleet.hpp"
 
@@ -80,6 +81,15 @@
     return notice;
 }
 
+upstreams::restart_notice decode_restart(const nlohmann::json& fields)
+{
+    upstreams::restart_notice notice{.upstream = decode_start(fields),
+                                     .age = decode_age(fields.at(2))};
+    if (!fields.at(3).is_null())
+        notice.accepted_age = decode_age(fields.at(3));
+    return notice;
+}
+
 } // namespace
 
 std::string encode(const upstream_notices& notices)
@@ -99,10 +109,16 @@
     nlohmann::json suspects = nlohmann::json::array();
     for (const quarantine::suspect_notice& each : notices.suspects)
         suspects.push_back(encode_suspect(each));
+    nlohmann::json restarts = nlohmann::json::array();
+    for (const upstreams::restart_notice& each : notices.restarts)
+        restarts.push_back({each.upstream.id, each.upstream.started, encode_age(each.age),
+                            each.accepted_age
+                                ? nlohmann::json(encode_age(*each.accepted_age))
+                                : nlohmann::json()});
     std::string bytes;
     nlohmann::json::to_msgpack(
-        nlohmann::json::array(
-            {std::move(limits), std::move(leaving), std::move(suspects)}),
+        nlohmann::json::array({std::move(limits), std::move(leaving), std::move(suspects),
+                               std::move(restarts)}),
         bytes);
     return bytes;
 }
@@ -124,6 +140,9 @@
         if (all.size() > 2)
             for (const nlohmann::json& each : all.at(2))
                 notices.suspects.push_back(decode_suspect(each));
+        if (all.size() > 3)
+            for (const nlohmann::json& each : all.at(3))
+                notices.restarts.push_back(decode_restart(each));
         return notices;
     }
     catch (const std::exception& problem)
--- a/pistachiospan/gateway/crash_watch.cpp
+++ b/pistachiospan/gateway/crash_watch.cpp
@@ -80,9 +80,11 @@
 void gateway::note_connection(time_point now, exchange_id exchange,
                               pending_request& pending, const attempt_result& result)
 {
+    const upstreams::upstream_start upstream{pending.chosen.id, pending.chosen.started};
+    if (result.connection_refused)
+        this->upstreams.note_refused(now, upstream);
     if (!this->hooks.identify || !this->hooks.check_connection)
         return;
-    const upstreams::upstream_start upstream{pending.chosen.id, pending.chosen.started};
     if (result.outcome == attempt_outcome::answered)
     {
         this->report_ends(now, this->ends.note_answer(now, upstream));
@@ -119,6 +121,8 @@
         this->upstreams.note_reached(now);
         this->report_ends(now, this->ends.note_answer(now, upstream));
     }
+    if (outcome == quarantine::connection_check::refused)
+        this->upstreams.note_refused(now, upstream);
     const bool has_ended = this->ends.finish_check(now, upstream, outcome);
     if (!has_ended)
         return;
--- a/pistachiospan/gateway/gateway.hpp
+++ b/pistachiospan/gateway/gateway.hpp
@@ -94,6 +94,7 @@
     std::optional<refusal_evidence> evidence; // not_run, misdirected
     // broken: the upstream's side closed or reset the connection.
     bool connection_lost = false;
+    bool connection_refused = false; // not_sent: nothing listens at the address
     // broken: another upstream uses the address now, and may have run the request.
     bool is_misdirected = false;
     std::optional<upstreams::load_report> load;
--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -5,9 +5,11 @@
 #include "pistachiospan/http1/internal/socket.hpp"
 
 #include <event2/bufferevent.h>
+#include <event2/util.h>
 #include <sys/ioctl.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <unordered_map>
 #include <utility>
@@ -124,6 +126,7 @@
         time_point idle_since;
         std::string unsent_request; // the request, until the connection is open
         bool connected = false;
+        bool refused = false;         // instead of connected
         bool invalid_address = false; // the address can't be parsed
         bool expects_no_body = false; // the call is a HEAD request
         bool final_read_done = false; // the call has had its final_read_timeout
@@ -294,8 +297,9 @@
 
 void client::implementation::on_event(bufferevent*, short what, void* user)
 {
-    event_loop::run_guarded([what, &conn = *static_cast<connection*>(user)]
-                            { conn.owner.handle_event(conn, what); });
+    auto& conn = *static_cast<connection*>(user);
+    conn.refused = !conn.connected && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+    event_loop::run_guarded([what, &conn] { conn.owner.handle_event(conn, what); });
 }
 
 void client::implementation::handle_event(connection& conn, short what)
@@ -325,7 +329,10 @@
     }
     if (!conn.connected)
     {
-        this->finish(conn, {.end = call_end::not_sent, .detail = "connect failed"},
+        this->finish(conn,
+                     {.end = call_end::not_sent,
+                      .refused = conn.refused,
+                      .detail = "connect failed"},
                      false);
         return;
     }
--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -192,6 +192,7 @@
     response answer;
     // broken: the server closed or reset the connection.
     bool closed_by_server = false;
+    bool refused = false;                // not_sent: nothing listens at the address
     bool has_correlation = false;        // answered: the answer carries the request's id
     bool is_first_on_connection = false; // no call was sent on its connection before
     std::string detail;                  // the cause of a failure, for logs
--- a/pistachiospan/steering/steering.cpp
+++ b/pistachiospan/steering/steering.cpp
@@ -42,7 +42,8 @@
 
 core::core(core_options options, core_hooks given)
     : hooks(std::move(given)),
-      known_upstreams(std::move(options.upstreams), options.fleet.places),
+      known_upstreams(this->with_restart_hook(std::move(options.upstreams)),
+                      options.fleet.places),
       shared_room(options.fair_admission
                       ? std::make_unique<fair_admission>(this->hooks.log)
                       : nullptr),
@@ -178,7 +179,8 @@
             const bool leaving = this->learn_leaving(now, received.leaving);
             const bool limits = this->learn_limits(now, received.limits);
             const bool suspects = this->learn_suspects(now, received.suspects);
-            return leaving || limits || suspects;
+            const bool restarts = this->learn_restarts(now, received.restarts);
+            return leaving || limits || suspects || restarts;
         },
         .loads = [this](time_point now, duration span)
         { return this->known_upstreams.report_loads(now, span); },
@@ -246,14 +248,17 @@
 fleet::upstream_notices core::known_notices(time_point now, bool recent)
 {
     this->known_upstreams.forget_limits(now);
+    this->known_upstreams.forget_restarts(now);
     this->apply_limits(now);
     const upstreams::request_limits& limits = this->known_upstreams.named_limits();
     if (recent)
         return {.limits = limits.changed_since(now, notice_period),
-                .suspects = this->known_suspects(now, true)};
+                .suspects = this->known_suspects(now, true),
+                .restarts = this->known_upstreams.restarts_since(now, notice_period)};
     return {.limits = limits.in_force(now),
             .leaving = this->known_upstreams.unregistered_leaving(now),
-            .suspects = this->known_suspects(now, false)};
+            .suspects = this->known_suspects(now, false),
+            .restarts = this->known_upstreams.suspected_restarts(now)};
 }
 
 bool core::learn_limits(time_point now, std::span<const upstreams::limit_notice> received)
@@ -355,6 +360,58 @@
     this->local_node.send_notices(now);
 }
 
+upstreams::upstream_set_options
+core::with_restart_hook(upstreams::upstream_set_options given)
+{
+    given.restart_changed = [this](time_point now,
+                                   const upstreams::upstream_start& upstream,
+                                   upstreams::restart_change change)
+    {
+        this->note_restart(now, upstream, change);
+    };
+    return given;
+}
+
+// The VMs share the rate of an upstream that may be cold, so all must know.
+void core::note_restart(time_point now, const upstreams::upstream_start& upstream,
+                        upstreams::restart_change change)
+{
+    switch (change)
+    {
+    case upstreams::restart_change::suspected:
+        this->hooks.upstream_changed(
+            {.upstream = upstream, .change = upstream_change::restart_suspected});
+        break;
+    case upstreams::restart_change::accepted:
+        this->hooks.upstream_changed(
+            {.upstream = upstream, .change = upstream_change::restart_accepted});
+        break;
+    case upstreams::restart_change::refuted:
+        // Each VM learns it from the registry.
+        this->hooks.upstream_changed(
+            {.upstream = upstream, .change = upstream_change::restart_refuted});
+        return;
+    }
+    this->local_node.send_notices(now);
+}
+
+bool core::learn_restarts(time_point now,
+                          std::span<const upstreams::restart_notice> received)
+{
+    bool changed = false;
+    for (const upstreams::restart_notice& each : received)
+        if (this->known_upstreams.merge_restart(now, each))
+        {
+            this->hooks.upstream_changed(
+                {.upstream = each.upstream,
+                 .change = each.accepted_age ? upstream_change::restart_accepted
+                                             : upstream_change::restart_suspected,
+                 .told = true});
+            changed = true;
+        }
+    return changed;
+}
+
 bool core::learn_leaving(time_point now,
                          std::span<const upstreams::leaving_notice> received)
 {
--- a/pistachiospan/steering/steering.hpp
+++ b/pistachiospan/steering/steering.hpp
@@ -38,6 +38,9 @@
     leaving,
     limited,
     limit_ended,
+    restart_suspected, // it has ended, and may start again under its id
+    restart_accepted,  // a suspected one accepts requests again, and is cold
+    restart_refuted,   // the registry shows that it has not ended
 };
 
 // What has become known about an upstream from its answers, for logs and metrics.
@@ -149,6 +152,12 @@
     // Apply what another VM has told. Return true if anything of it is new.
     bool learn_leaving(time_point now,
                        std::span<const upstreams::leaving_notice> received);
+    bool learn_restarts(time_point now,
+                        std::span<const upstreams::restart_notice> received);
+    void note_restart(time_point now, const upstreams::upstream_start& upstream,
+                      upstreams::restart_change change);
+    upstreams::upstream_set_options
+    with_restart_hook(upstreams::upstream_set_options given);
     bool learn_limits(time_point now, std::span<const upstreams::limit_notice> received);
     fleet::upstream_notices known_notices(time_point now, bool recent);
     void apply_limits(time_point now);
--- a/pistachiospan/upstreams/notices.cpp
+++ b/pistachiospan/upstreams/notices.cpp
@@ -5,12 +5,6 @@
 namespace pistachiospan::upstreams
 {
 
-void upstream_set::note_cold(time_point now, std::string_view id, duration cold_left)
-{
-    if (upstream* target = this->find(id))
-        this->make_cold(now, *target, cold_left);
-}
-
 void upstream_set::note_pause(time_point now, std::string_view id, duration span)
 {
     if (upstream* target = this->find(id))
@@ -62,6 +56,9 @@
     case outcome::answered:
     case outcome::shed:
     case outcome::failed:
+        this->note_reached(now);
+        this->note_contact(now, id, now - latency);
+        return;
     case outcome::misdirected:
         this->note_reached(now);
         return;
@@ -75,13 +72,16 @@
     }
 }
 
-// The upstreams that failed while this VM was cut off get requests at once again.
+// The upstreams that failed while this VM was cut off get requests at once again, and
+// have not ended for that.
 void upstream_set::note_reached(time_point now)
 {
     if (!this->reach.note_contact(now))
         return;
     for (const auto& [id, each] : this->upstreams_by_id)
         each->availability.note_answer(now);
+    for (const upstream_start& each : this->restarts.drop_unconfirmed())
+        this->apply_restart(now, each);
 }
 
 std::vector<upstream_set::endpoint> upstream_set::next_to_try(std::size_t count)
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -143,12 +143,14 @@
         added->announced_leaving =
             this->leaving.contains({registration.id, registration.started});
         this->apply_limit(now, *added);
+        this->apply_restart(now, *added);
         this->make_cold(now, *added, registration.cold_left);
         this->group_of(registration.service).members.push_back(added.get());
         this->upstreams_by_id.emplace(registration.id, std::move(added));
         return registration.draining ? "added draining" : "added";
     }
     std::string change;
+    this->note_entry(now, *known, registration);
     if (known->registration.started != registration.started)
     {
         // The same upstream has restarted: it knows no objects and is cold.
@@ -161,6 +163,7 @@
         known->shared = {};
         known->slowness = 1;
         known->objects.clear();
+        known->in_use = false;
         change = "restarted";
     }
     this->make_cold(now, *known, registration.cold_left);
@@ -168,6 +171,7 @@
         change = registration.draining ? "draining" : "ready";
     known->registration = registration;
     this->apply_limit(now, *known);
+    this->apply_restart(now, *known);
     return change;
 }
 
@@ -191,6 +195,9 @@
         service_group& group = this->group_of(each.name);
         group.cold_time = each.cold_time;
         group.cold_rate = each.cold_rate;
+        for (upstream* member : group.members)
+            member->suspected_until =
+                this->restarts.cold_until(start_of(*member), group.cold_time);
     }
 }
 
@@ -283,7 +290,7 @@
     const double unknown = std::max(known, group.unknown_time.micros());
     const double work_factor =
         this->slowness_of(now, target) *
-        (now < target.cold_until ? this->options.cold_work_factor : 1.0);
+        (target.is_cold(now) ? this->options.cold_work_factor : 1.0);
     const double mean = group.mean_time.micros();
     const double slots = effective_slots(target.registration.slots);
     const double requests_ahead = std::max(0.0, this->load_of(now, target) + 1 - slots);
@@ -308,34 +315,6 @@
                       work_factor;
 }
 
-// Each VM starts with a different fraction of a token, so that the first tokens of all
-// VMs are spread evenly over time.
-void upstream_set::make_cold(time_point now, upstream& target, duration left) const
-{
-    const time_point until = now + left;
-    if (until <= target.cold_until || left <= duration(0))
-        return;
-    if (now >= target.cold_until)
-    {
-        target.cold_tokens = to_unit_interval(mix(this->options.seed, target.hash));
-        target.cold_refilled_at = now;
-    }
-    target.cold_until = until;
-}
-
-bool upstream_set::has_cold_token(time_point now, upstream& target,
-                                  const service_group& group)
-{
-    if (now >= target.cold_until || group.cold_rate <= 0)
-        return true;
-    const double rate = group.cold_rate * this->options.cold_rate_margin /
-                        static_cast<double>(this->vm_count);
-    const double elapsed = micros(now - target.cold_refilled_at) / 1e6;
-    target.cold_tokens = std::min(1.0, target.cold_tokens + elapsed * rate);
-    target.cold_refilled_at = now;
-    return target.cold_tokens >= 1;
-}
-
 bool upstream_set::in_allowed_regions(const upstream& target,
                                       std::span<const std::string> homes) const
 {
@@ -467,7 +446,7 @@
                 .load = this->load_of(now, *best->target),
                 .failure = selection_failure::no_room,
                 .retry_after = std::max(optimistic - request.objective, min_retry_after)};
-    if (now < best->target->cold_until)
+    if (best->target->is_cold(now))
         best->target->cold_tokens -= 1;
     return {.found = true,
             .id = best->target->registration.id,
@@ -527,7 +506,7 @@
                          duration latency)
 {
     service_group& group = this->group_of(target.registration.service);
-    const bool cold = now < target.cold_until;
+    const bool cold = target.is_cold(now);
     const double sample = std::max(micros(latency - chosen.wait - chosen.network_time),
                                    micros(latency) / 4) /
                           (cold ? this->options.cold_work_factor : 1.0);
@@ -608,7 +587,7 @@
                          .draining = each->is_leaving(),
                          .ejected = each->availability.is_ejected(now),
                          .paused = each->availability.pause_left(now) > duration(0),
-                         .cold = now < each->cold_until,
+                         .cold = each->is_cold(now),
                          .slowness = this->slowness_of(now, *each)});
     return views;
 }
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -27,6 +27,7 @@
 #include "pistachiospan/upstreams/internal/reachability.hpp"
 #include "pistachiospan/upstreams/internal/shared_load.hpp"
 #include "pistachiospan/upstreams/request_limits.hpp"
+#include "pistachiospan/upstreams/restart_suspicions.hpp"
 
 #include <deque>
 #include <list>
@@ -50,6 +51,7 @@
     duration cold_left{0};     // remaining time during which it is cold
     std::int64_t started = 0;  // identifies one start of the upstream
     std::int64_t sequence = 0; // rises with each entry that it writes after one start
+    duration max_age = duration::max(); // bound on the time since it was written
     bool operator==(const entry&) const = default;
 };
 
@@ -79,6 +81,14 @@
     misdirected, // another upstream uses the address now
 };
 
+// How the suspicion that an upstream has restarted has changed, by what this VM has seen.
+enum class restart_change
+{
+    suspected, // it has ended, and may start again under its id
+    accepted,  // it accepts requests again: its cold time runs
+    refuted,   // an entry of the same start was written since
+};
+
 struct upstream_set_options
 {
     std::uint64_t seed = 0;  // must differ between VMs
@@ -153,6 +163,9 @@
     duration stall_timeout = std::chrono::milliseconds(450);
     // Fraction of this VM's share of a cold upstream's rate that it uses.
     double cold_rate_margin = 0.9;
+    // Called at the end of the function that has brought the change.
+    std::function<void(time_point, const upstream_start&, restart_change)>
+        restart_changed = nullptr;
 };
 
 struct query
@@ -289,6 +302,23 @@
     void end(time_point now, const selection& chosen, outcome result, duration latency,
              std::optional<load_report> report);
     void note_cold(time_point now, std::string_view id, duration cold_left);
+    // Signs that an upstream has ended, which count if this VM has used it and it has not
+    // announced that it leaves: it has refused a connection, or has closed all its
+    // connections at once. From then on it is treated as cold, until its service's cold
+    // time has passed since it was first seen to accept again.
+    void note_refused(time_point now, const upstream_start& start);
+    void note_connections_ended(time_point now, std::string_view address);
+    // Another VM has told this about a suspected restart. Returns true if it is new.
+    bool merge_restart(time_point now, const restart_notice& notice);
+    // Suspected restarts to be reported to the other VMs: those that have changed during
+    // the last `age`, and all that still matter.
+    std::vector<restart_notice> restarts_since(time_point now, duration age) const
+    {
+        return this->restarts.changed_since(now, age);
+    }
+    std::vector<restart_notice> suspected_restarts(time_point now) const;
+    // Forgets suspicions that are not needed any more. Call from time to time.
+    void forget_restarts(time_point now);
     // The upstream asked for no work from this VM during `span`.
     void note_pause(time_point now, std::string_view id, duration span);
     // Notes that the upstream, or another VM, reported that this start of the upstream is
@@ -398,6 +428,13 @@
         {
             return this->registration.draining || this->announced_leaving;
         }
+        bool in_use = false;                            // this start has answered this VM
+        time_point suspected_until = time_point::min(); // cold by a suspected restart
+
+        bool is_cold(time_point now) const
+        {
+            return now < this->cold_until || now < this->suspected_until;
+        }
         time_point cold_until;
         double cold_tokens = 1;
         time_point cold_refilled_at;
@@ -491,6 +528,18 @@
     selection no_usable_upstream(time_point now, const query& request,
                                  const service_group& group) const;
     void make_cold(time_point now, upstream& target, duration left) const;
+    void begin_cold(time_point now, upstream& target) const;
+    static upstream_start start_of(const upstream& target)
+    {
+        return {target.registration.id, target.registration.started};
+    }
+    void note_end_sign(time_point now, upstream& target);
+    void apply_restart(time_point now, upstream& target);
+    void apply_restart(time_point now, const upstream_start& start);
+    void note_entry(time_point now, const upstream& known, const entry& registration);
+    void note_contact(time_point now, const std::string& id, time_point sent_at);
+    void tell_restart(time_point now, const upstream_start& start,
+                      restart_change change) const;
     void note_outcome(time_point now, const std::string& id, outcome result,
                       duration latency);
 
@@ -503,6 +552,7 @@
     std::map<std::string, evacuation> evacuated;
     std::map<upstream_start, time_point> leaving; // since when it is known
     request_limits limits;
+    restart_suspicions restarts;
     std::uint64_t limited_changes = 0;
     internal::reachability reach;
     std::string last_tried;             // by next_to_try()
--- a/pistachiospan/world/cold_check.cpp
+++ b/pistachiospan/world/cold_check.cpp
@@ -16,7 +16,8 @@
     {
         const auto last =
             std::ranges::lower_bound(first, end, first->at + window, {}, &arrival::at);
-        const auto count = std::count_if(first, last, [at = first->sent_at](const auto& each)
+        const auto count = std::count_if(first, last,
+                                         [at = first->sent_at](const auto& each)
                                          { return each.sent_at >= at; });
         most = std::max(most, static_cast<std::size_t>(count));
     }
--- a/pistachiospan/world/world.cpp
+++ b/pistachiospan/world/world.cpp
@@ -322,9 +322,11 @@
     if (this->servers[server]->is_down() || link != upstream_link::open)
     {
         this->on_vm(at, link == upstream_link::silent ? connect_timeout : 2 * way,
-                    [this, id] {
+                    [this, id, link]
+                    {
                         this->finish_attempt(
-                            id, {.outcome = gateway::attempt_outcome::not_sent});
+                            id, {.outcome = gateway::attempt_outcome::not_sent,
+                                 .connection_refused = link != upstream_link::silent});
                     });
         return id;
     }
