Drop tokens of cold upstreams that are not spent soon

Cause: a VM kept its token for a cold upstream without end. VMs without requests for it for a while could all spend theirs in the same second.

Change: internal/cold_tokens holds the bucket; a whole token that is not spent within 0.25 s is lost, the progress to the next one stays.

--- a/pistachiospan/upstreams/cold.cpp
+++ b/pistachiospan/upstreams/cold.cpp
@@ -8,7 +8,6 @@
 namespace pistachiospan::upstreams
 {
 
-using internal::micros;
 using internal::mix;
 using internal::to_unit_interval;
 
@@ -33,8 +32,7 @@
 {
     if (target.is_cold(now))
         return;
-    target.cold_tokens = to_unit_interval(mix(this->options.seed, target.hash));
-    target.cold_refilled_at = now;
+    target.cold_tokens.begin(now, to_unit_interval(mix(this->options.seed, target.hash)));
 }
 
 bool upstream_set::has_cold_token(time_point now, upstream& target,
@@ -44,10 +42,7 @@
         return true;
     const double rate = group.cold_rate * this->options.cold_rate_margin /
                         static_cast<double>(this->vm_count);
-    const double elapsed = micros(now - target.cold_refilled_at) / 1e6;
-    target.cold_tokens = std::min(1.0, target.cold_tokens + elapsed * rate);
-    target.cold_refilled_at = now;
-    return target.cold_tokens >= 1;
+    return target.cold_tokens.has_token(now, rate);
 }
 
 void upstream_set::note_refused(time_point now, const upstream_start& start)
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -447,7 +447,7 @@
                 .failure = selection_failure::no_room,
                 .retry_after = std::max(optimistic - request.objective, min_retry_after)};
     if (best->target->is_cold(now))
-        best->target->cold_tokens -= 1;
+        best->target->cold_tokens.spend();
     return {.found = true,
             .id = best->target->registration.id,
             .started = best->target->registration.started,
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -22,6 +22,7 @@
 #include "pistachiospan/capacity/capacity.hpp"
 #include "pistachiospan/configuration/configuration.hpp"
 #include "pistachiospan/upstreams/internal/availability.hpp"
+#include "pistachiospan/upstreams/internal/cold_tokens.hpp"
 #include "pistachiospan/upstreams/internal/learned_time.hpp"
 #include "pistachiospan/upstreams/internal/limit_use.hpp"
 #include "pistachiospan/upstreams/internal/reachability.hpp"
@@ -436,8 +437,7 @@
             return now < this->cold_until || now < this->suspected_until;
         }
         time_point cold_until;
-        double cold_tokens = 1;
-        time_point cold_refilled_at;
+        internal::cold_tokens cold_tokens;
     };
 
     struct service_group
