Count the end of all connections, and later entries, for restarts

Cause: an upstream that restarts before the next connection to it is refused shows only that all its connections end at once. A wrong suspicion of a healthy upstream ended only with the cold time.

Change: the http1 client tells when a server has closed all connections to it, two or more, within 100 ms (internal/end_watch). The edge bounds the age of registry entries by the last read before the page that has them, so that one written after a sign ends the suspicion.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -179,7 +179,13 @@
       core(this->make_core_options(), this->make_core_hooks()),
       upstream_client(base,
                       {.correlation_header = this->codec.correlation_header,
-                       .max_buffered = this->options.max_memory / body_memory_divisor}),
+                       .max_buffered = this->options.max_memory / body_memory_divisor,
+                       .connections_ended =
+                           [this](const std::string& address)
+                       {
+                           this->core.upstreams().note_connections_ended(monotonic_now(),
+                                                                         address);
+                       }}),
       vm_client(base, {.max_buffered = this->options.max_memory / body_memory_divisor}),
       callers(base, this->options.caller_address, this->make_caller_hooks()),
       peers(base, this->options.peer_address,
@@ -579,7 +585,7 @@
 
 void edge_daemon::implementation::apply_upstream(const mirror::row& changed)
 {
-    const result<upstreams::entry> decoded =
+    result<upstreams::entry> decoded =
         this->codec.decode_upstream(changed.key, changed.value);
     if (!decoded)
     {
@@ -592,8 +598,9 @@
         this->metrics.count_unreadable_entry();
         return;
     }
-    const std::string change =
-        this->core.upstreams().update(monotonic_now(), decoded.value());
+    const time_point now = monotonic_now();
+    decoded.value().max_age = this->tables.upstream_row_age(now);
+    const std::string change = this->core.upstreams().update(now, decoded.value());
     if (!change.empty())
         this->log("upstream", {{"upstream", changed.key},
                                {"change", change},
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -79,6 +79,9 @@
     // Time since the last successful read of the operator rows, from the store or another
     // VM, not counting the page that is being applied.
     duration operator_rows_age(time_point now) const;
+    // Upper bound of the time since a row of the registry that is being applied was
+    // written; `duration::max()` if none is known.
+    duration upstream_row_age(time_point now) const;
     // Upper bound of the age of this VM's copies; 0 while it reads from a VM that reads
     // the store.
     duration staleness(time_point now) const;
@@ -134,6 +137,7 @@
     time_point last_store_try;
     time_point behind_since;
     std::optional<time_point> version_behind_since;
+    bool applies_held_rows = false; // now, in tick()
 };
 
 } // namespace pistachiospan::edge::internal
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -12,6 +12,10 @@
 namespace
 {
 
+// From a change in the store until it is in the copies of all VMs that read from each
+// other, as the users require.
+constexpr duration max_copy_delay = std::chrono::seconds(2);
+
 std::string_view name_of(table which)
 {
     return which == table::operator_rows ? "operator_rows" : "upstreams";
@@ -147,8 +151,10 @@
 
 void store_view::tick(time_point now)
 {
+    this->applies_held_rows = true;
     this->operator_rows.copy.tick(now);
     this->upstreams.copy.tick(now);
+    this->applies_held_rows = false;
     this->publish_changes();
 }
 
@@ -218,6 +224,14 @@
     return this->operator_rows.table_follower.last_read_age(now);
 }
 
+duration store_view::upstream_row_age(time_point now) const
+{
+    const duration age = this->upstreams.table_follower.last_read_age(now);
+    // A row that a copy has held back may be of any age.
+    return this->applies_held_rows || age == duration::max() ? duration::max()
+                                                             : age + max_copy_delay;
+}
+
 duration store_view::staleness(time_point now) const
 {
     const duration age = this->store_age(now);
--- a/pistachiospan/http1/client.cpp
+++ b/pistachiospan/http1/client.cpp
@@ -1,6 +1,7 @@
 #include "pistachiospan/event_loop/event_loop.hpp"
 #include "pistachiospan/http1/http1.hpp"
 #include "pistachiospan/http1/internal/connect_check.hpp"
+#include "pistachiospan/http1/internal/end_watch.hpp"
 #include "pistachiospan/http1/internal/parser.hpp"
 #include "pistachiospan/http1/internal/socket.hpp"
 
@@ -154,6 +155,7 @@
     void accept_response(connection& conn);
     bool is_expected_response(const connection& conn) const;
     void on_disconnect(connection& conn, short what);
+    void watch_end(const connection& closed);
     static bool has_unread_bytes(const connection& conn);
     static bool is_request_received(const connection& conn);
     void on_timeout(connection& conn);
@@ -166,6 +168,7 @@
     event_base* base;
     client_options options;
     internal::connect_checks checks{this->base};
+    internal::end_watch ends;
     std::uint64_t last_id = 0;
     std::size_t total_buffered_bytes = 0; // bytes of all bodies
     std::unordered_map<std::uint64_t, std::unique_ptr<connection>> open_connections;
@@ -324,6 +327,7 @@
 {
     if (conn.call == 0)
     {
+        this->watch_end(conn);
         this->close(conn);
         return;
     }
@@ -355,6 +359,7 @@
         this->accept_response(conn);
         return;
     }
+    this->watch_end(conn);
     this->finish(conn,
                  {.end = call_end::broken,
                   .closed_by_server = true,
@@ -362,6 +367,26 @@
                  false);
 }
 
+// The server has closed the connection: tells the owner if that was the last one.
+void client::implementation::watch_end(const connection& closed)
+{
+    if (!this->options.connections_ended)
+        return;
+    this->ends.note_closed(monotonic_now(), closed.address, this->last_id);
+    const std::uint64_t last = this->ends.last_watched(closed.address);
+    const bool has_others =
+        std::ranges::any_of(this->open_connections,
+                            [&closed, last](const auto& each)
+                            {
+                                const connection& other = *each.second;
+                                return other.connected && &other != &closed &&
+                                       other.id <= last &&
+                                       other.address == closed.address;
+                            });
+    if (!has_others && this->ends.finish(closed.address))
+        this->options.connections_ended(closed.address);
+}
+
 void client::implementation::on_read(bufferevent*, void* user)
 {
     auto& conn = *static_cast<connection*>(user);
--- a/pistachiospan/http1/http1.hpp
+++ b/pistachiospan/http1/http1.hpp
@@ -220,6 +220,9 @@
     // Bytes that the bodies of all responses being read hold in memory.
     std::size_t max_buffered = std::size_t{64} << 20U;
     std::size_t max_idle_connections = 16; // to one address
+    // Called when the server at the address has closed or reset all connections to it,
+    // two or more, within 100 ms. Must not call the client.
+    std::function<void(const std::string& address)> connections_ended = nullptr;
 };
 
 // What a server did with a new connection.
