--- a/pistachiospan/fleet/fleet_test.cpp
+++ b/pistachiospan/fleet/fleet_test.cpp
@@ -333,3 +333,30 @@
     for (std::size_t cut = 1; cut < bytes.size(); ++cut)
         BOOST_TEST(!fleet::decode_notices(bytes.substr(0, cut)).has_value());
 }
+
+// Guards against suspected restarts that change on the way, and against VMs of an earlier
+// version that do not understand the rest of the message any more.
+BOOST_AUTO_TEST_CASE(suspected_restarts_reach_other_vms_of_any_version)
+{
+    const fleet::upstream_notices notices{
+        .leaving = {{.upstream = {"u3", 5}, .age = 1s}},
+        .restarts = {{.upstream = {"u1", 1700000000000}, .age = 700ms},
+                     {.upstream = {"u2", 4}, .age = 2s, .accepted_age = 20ms}}};
+    BOOST_TEST(!fleet::upstream_notices{.restarts = notices.restarts}.empty());
+    const std::string bytes = fleet::encode(notices);
+    const auto decoded = fleet::decode_notices(bytes);
+    BOOST_TEST_REQUIRE(decoded.has_value());
+    BOOST_CHECK(decoded.value() == notices);
+    for (std::size_t cut = 1; cut < bytes.size(); ++cut)
+        BOOST_TEST(!fleet::decode_notices(bytes.substr(0, cut)).has_value());
+    // What versions without restarts read of the message, and what they send.
+    nlohmann::json fields = nlohmann::json::from_msgpack(bytes);
+    BOOST_TEST_REQUIRE(fields.size() == 4U);
+    fields.erase(3);
+    std::string older;
+    nlohmann::json::to_msgpack(fields, older);
+    const auto from_older = fleet::decode_notices(older);
+    BOOST_TEST_REQUIRE(from_older.has_value());
+    BOOST_CHECK(from_older.value().leaving == notices.leaving);
+    BOOST_TEST(from_older.value().restarts.empty());
+}
--- a/pistachiospan/gateway/gateway_test.cpp
+++ b/pistachiospan/gateway/gateway_test.cpp
@@ -674,6 +674,7 @@
     BOOST_CHECK(test.refused.back().reason == refusal::no_upstream);
 }
 
+<<<<<<< HEAD
 // A pipelined request has waited for earlier ones of its connection. Guards against a
 // remaining time that counts from when the request was submitted: its caller would get an
 // answer, and the upstream work, too late.
@@ -716,4 +717,39 @@
     BOOST_TEST(!all.requests.is_idempotent("a.example", "/order/x"));
     BOOST_TEST(!all.requests.is_idempotent("a.example", "/other/x"));
     BOOST_TEST(!all.requests.is_idempotent("b.example", "/read/x"));
+=======
+// Guards against an upstream that refuses connections and is not known to be cold when it
+// accepts again, and against a connect timeout that is taken for a refusal.
+BOOST_AUTO_TEST_CASE(refused_connection_makes_an_upstream_cold)
+{
+    for (const bool refused : {false, true})
+        for (const bool checked : {false, true})
+        {
+            fixture test;
+            const std::vector<configuration::service> services = {
+                {.name = "orders", .cold_time = 3s, .cold_rate = 14}};
+            test.known.set_services(services);
+            // Enough that both upstreams have been used.
+            for (gateway::exchange_id id = 1; id <= 20; ++id)
+            {
+                test.submit(id, "/read/1");
+                test.requests.finish_attempt(
+                    start + 10ms, id, test.sent.size(),
+                    {.outcome = attempt_outcome::answered, .status = 200, .answer = 1});
+            }
+            test.submit(21, "/read/1");
+            const upstreams::upstream_start used{test.sent.back().upstream, 0};
+            if (checked)
+                test.requests.finish_connection_check(
+                    start + 20ms, used,
+                    refused ? quarantine::connection_check::refused
+                            : quarantine::connection_check::unclear);
+            else
+                test.requests.finish_attempt(start + 20ms, 21, test.sent.size(),
+                                             {.outcome = attempt_outcome::not_sent,
+                                              .connection_refused = refused});
+            for (const upstreams::upstream_view& each : test.known.views(start + 20ms))
+                BOOST_TEST(each.cold == (refused && each.id == used.id));
+        }
+>>>>>>> 3f403b6 (Test suspected restarts over messages, gateway and many VMs)
 }
