--- a/pistachiospan/gateway/gateway_test.cpp
+++ b/pistachiospan/gateway/gateway_test.cpp
@@ -674,7 +674,6 @@
     BOOST_CHECK(test.refused.back().reason == refusal::no_upstream);
 }
 
-<<<<<<< HEAD
 // A pipelined request has waited for earlier ones of its connection. Guards against a
 // remaining time that counts from when the request was submitted: its caller would get an
 // answer, and the upstream work, too late.
@@ -717,7 +716,8 @@
     BOOST_TEST(!all.requests.is_idempotent("a.example", "/order/x"));
     BOOST_TEST(!all.requests.is_idempotent("a.example", "/other/x"));
     BOOST_TEST(!all.requests.is_idempotent("b.example", "/read/x"));
-=======
+}
+
 // Guards against an upstream that refuses connections and is not known to be cold when it
 // accepts again, and against a connect timeout that is taken for a refusal.
 BOOST_AUTO_TEST_CASE(refused_connection_makes_an_upstream_cold)
@@ -751,5 +751,4 @@
             for (const upstreams::upstream_view& each : test.known.views(start + 20ms))
                 BOOST_TEST(each.cold == (refused && each.id == used.id));
         }
->>>>>>> 3f403b6 (Test suspected restarts over messages, gateway and many VMs)
 }
