--- a/pistachiospan/gateway/admission.cpp
+++ b/pistachiospan/gateway/admission.cpp
@@ -89,8 +89,7 @@
     const duration objective = pending.route->latency_objective;
     const bool has_waited =
         pending.chosen.wait > duration(0) || (result.load && result.load->waiting > 0);
-    const bool is_late =
-        objective > duration(0) && now - pending.arrived_at > objective;
+    const bool is_late = objective > duration(0) && now - pending.arrived_at > objective;
     this->note_admitted(now, pending,
                         is_late && has_waited ? admission::outcome::answered_late
                                               : admission::outcome::answered,
