--- a/pistachiospan/fleet_node/loads_test.cpp
+++ b/pistachiospan/fleet_node/loads_test.cpp
@@ -33,6 +33,7 @@
         for (int left = reports(random); left > 0; --left)
             pick().reported = capacity::reported_load{.requests = 3, .age = 200ms};
         std::vector<capacity::upstream_load> list;
+        list.reserve(loads.size());
         for (const auto& [key, load] : loads)
             list.push_back(load);
         return list;
