--- a/pistachiospan/world/admission_test.cpp
+++ b/pistachiospan/world/admission_test.cpp
@@ -146,6 +146,20 @@
         }
 }
 
+// Guards against reports or decisions that do not reach the other VMs of a data centre.
+BOOST_AUTO_TEST_CASE(coordinators_decide_for_their_data_centres)
+{
+    deployment all(options_of(1, true, eightfold_with_small));
+    all.run_for(10s);
+    for (std::size_t vm = 0; vm < all.vm_count(); ++vm)
+    {
+        const auto views = all.vm_at(vm).process->admission_views(all.now());
+        BOOST_TEST_REQUIRE(views.size() == 1U);
+        BOOST_TEST(views[0].is_told, "VM " << vm);
+        BOOST_TEST(views[0].share > 0, "VM " << vm);
+    }
+}
+
 // Guards against refusals while there is room for all.
 BOOST_AUTO_TEST_CASE(nothing_is_refused_while_there_is_room)
 {
