Capture a structured binding as clang requires

Cause: clang does not capture a structured binding by its name. Change: an initialised capture in metrics.cpp.

--- a/pistachiospan/edge/metrics.cpp
+++ b/pistachiospan/edge/metrics.cpp
@@ -162,7 +162,7 @@
 {
     for (const auto& [service, counts] : by_service)
     {
-        const auto set = [this, &service](const char* name, double value)
+        const auto set = [this, &service = service](const char* name, double value)
         {
             this->retries.Add({{"service", service}, {"name", name}}).Set(value);
         };
