Learn how many concurrent requests an upstream handles well

Cause: an upstream is assumed to handle as many requests at a time as the registry says. One whose answer times rise before its slots are full looks healthy.

Change: capacity::concurrency_limit keeps decayed sums of normalised answer times for each number of requests at the upstream, and lowers the limit to the number at which most requests are handled per unit of time. It is raised by one after three good probes, at most one probe in twenty requests.

Result: in concurrency_limit_test, with 8 slots and one answer each 50 or 250 ms, the limit stays within one of the true value for rises at 4, 6 and 8. With 15% of the time 2.5 times slower it stays at 8, whether the host reports it or not (600 s each).

--- a/pistachiospan/capacity/capacity.hpp
+++ b/pistachiospan/capacity/capacity.hpp
@@ -18,6 +18,7 @@
 #define PISTACHIOSPAN_CAPACITY_CAPACITY_HPP
 
 #include "pistachiospan/base/base.hpp"
+#include "pistachiospan/capacity/concurrency_limit.hpp"
 
 #include <map>
 #include <optional>
