Estimate the wait at upstreams with their learned limit

Cause: estimates count all registered slots, also of upstreams whose answers become slower before these are filled.

Change: where loads are shared, the answers and refusals that carry a load report teach the upstream's concurrency limit, and estimate() uses it instead of the slots. A restart begins anew. Elsewhere nothing changes. The state upstream_limits_lowered counts the upstreams with a limit below their slots.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -702,6 +702,8 @@
     set("limit_refusals", totals.limit_refusals);
     set("upstreams", this->core.upstreams().size());
     set("upstream_loads_told", this->core.upstreams().told_loads(monotonic_now()));
+    set("upstream_limits_lowered",
+        this->core.upstreams().lowered_limits(monotonic_now()));
     set("limited_upstreams", this->core.upstreams().limited_upstreams().size());
     set("upstreams_reachable",
         this->core.upstreams().is_cut_off(monotonic_now()) ? 0 : 1);
--- a/pistachiospan/upstreams/internal/shared_load.hpp
+++ b/pistachiospan/upstreams/internal/shared_load.hpp
@@ -3,7 +3,9 @@
 #ifndef PISTACHIOSPAN_UPSTREAMS_INTERNAL_SHARED_LOAD_HPP
 #define PISTACHIOSPAN_UPSTREAMS_INTERNAL_SHARED_LOAD_HPP
 
-#include "pistachiospan/base/base.hpp"
+#include "pistachiospan/capacity/capacity.hpp"
+
+#include <optional>
 
 namespace pistachiospan::upstreams::internal
 {
@@ -21,6 +23,8 @@
     // Requests of the other VMs by the last estimate.
     double others = 0;
     time_point others_at;
+    // Learned from the answers to this VM; nullopt before the first one.
+    std::optional<capacity::concurrency_limit> limit;
 };
 
 } // namespace pistachiospan::upstreams::internal
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -292,7 +292,7 @@
         this->slowness_of(now, target) *
         (target.is_cold(now) ? this->options.cold_work_factor : 1.0);
     const double mean = group.mean_time.micros();
-    const double slots = effective_slots(target.registration.slots);
+    const double slots = this->usable_requests(now, target);
     const double requests_ahead = std::max(0.0, this->load_of(now, target) + 1 - slots);
     choice.wait = requests_ahead / slots * mean * work_factor;
     choice.network_time = this->network_time_to(target);
@@ -468,6 +468,7 @@
     upstream* target = this->find(chosen.id);
     if (target == nullptr)
         return;
+    note_sent(now, *target, chosen);
     ++target->in_flight;
     target->start_times.push_back(now);
     target->objects.add(chosen.object, this->options.max_known_objects);
@@ -537,8 +538,7 @@
         --target->in_flight;
         target->start_times.pop_front();
     }
-    if (report)
-        this->note_load(now, *target, *report);
+    this->note_report(now, *target, chosen, result, latency, report);
     switch (result)
     {
     case outcome::answered:
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -387,6 +387,8 @@
                               bool complete);
     // Number of upstreams whose load the other VMs have told lately.
     std::size_t told_loads(time_point now) const;
+    // Number of upstreams whose learned concurrency limit is below their slots.
+    std::size_t lowered_limits(time_point now) const;
 
     std::size_t size() const;
     std::vector<upstream_view> views(time_point now) const;
@@ -490,6 +492,11 @@
     double own_load(time_point now, const upstream& target) const;
     void note_abandoned(time_point now, upstream& target) const;
     void note_load(time_point now, upstream& target, const load_report& report);
+    double usable_requests(time_point now, const upstream& target) const;
+    static void note_sent(time_point now, upstream& target, const selection& chosen);
+    void note_report(time_point now, upstream& target, const selection& chosen,
+                     outcome result, duration latency,
+                     const std::optional<load_report>& report);
     double slowness_of(time_point now, const upstream& target) const;
     double network_time_to(const upstream& target) const;
     void estimate(time_point now, candidate& choice, std::size_t rank,
