--- a/pistachiospan/upstreams/loads.cpp
+++ b/pistachiospan/upstreams/loads.cpp
@@ -36,15 +36,6 @@
     return group != this->groups.end() && group->second.shares_load;
 }
 
-// The wait that does not let a request count as late for lack of room, in microseconds.
-// Where all VMs know the load, they refuse together: without one waiting request for each
-// slot, slots would be idle until the next news arrives.
-double upstream_set::tolerated_wait(const upstream& target,
-                                    const service_group& group) const
-{
-    return this->shares_load(target) ? group.mean_time.micros() : 0;
-}
-
 // The requests of this VM, and those of the others by the newest news about them, which
 // lose their weight with time.
 double upstream_set::load_of(time_point now, const upstream& target) const
--- a/pistachiospan/upstreams/upstreams.cpp
+++ b/pistachiospan/upstreams/upstreams.cpp
@@ -438,8 +438,7 @@
                 .retry_after = std::max(expected - request.time_left, min_retry_after)};
     // A request that would wait and still miss its objective would take the slot from one
     // that can meet it.
-    const bool waits =
-        best->wait > this->tolerated_wait(*best->target, group) && !last_resort;
+    const bool waits = best->wait > 0 && !last_resort;
     const duration optimistic = to_duration(best->optimistic);
     if (waits && request.objective > duration(0) && optimistic > request.objective)
         return {.expected = expected,
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -488,7 +488,6 @@
     service_group& group_of(const std::string& service);
     double load_of(time_point now, const upstream& target) const;
     bool shares_load(const upstream& target) const;
-    double tolerated_wait(const upstream& target, const service_group& group) const;
     double own_load(time_point now, const upstream& target) const;
     void note_abandoned(time_point now, upstream& target) const;
     void note_load(time_point now, upstream& target, const load_report& report);
--- a/pistachiospan/world/world.hpp
+++ b/pistachiospan/world/world.hpp
@@ -46,9 +46,9 @@
     double retry_slack = 40;       // retries, and as many more as the VMs times the next
     double retry_slack_per_vm = 2; // retries
     bool fair_admission = false;
-    double datagram_loss = 0; // fraction of the datagrams between VMs
-    duration cold_time{0};    // an upstream is cold this long after its start
-    double cold_rate = 0;     // requests per second that a cold one tolerates
+    double datagram_loss = 0;      // fraction of the datagrams between VMs
+    duration cold_time{0};         // an upstream is cold this long after its start
+    double cold_rate = 0;          // requests per second that a cold one tolerates
     // One way.
     duration within_data_centre = std::chrono::microseconds(100);
     duration within_region = std::chrono::milliseconds(1);
