Keep shared loads and learned limits off unless the operator switches them on

Refusals that follow news a second old leave slots idle.

The feature of an account of memory is gone: it is not built.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -247,7 +247,8 @@
 {
     return {.upstreams = {.seed = hash_bytes(this->options.vm.value),
                           .data_centre = this->options.data_centre,
-                          .shared_capacity = this->options.features.shared_capacity,
+                          .shared_loads = this->options.features.shared_loads,
+                          .learned_limits = this->options.features.learned_limits,
                           .max_region_shift = this->options.max_region_shift,
                           .replaces_lost_process = !this->options.first_start},
             .gateway = {.retry_ratio = this->options.retry_ratio,
--- a/pistachiospan/edge/edge.hpp
+++ b/pistachiospan/edge/edge.hpp
@@ -30,12 +30,12 @@
     // Idempotent requests are passed on while earlier ones of their connection have no
     // answer.
     bool pipelining = false;
-    // The VMs learn together how many requests each upstream takes well.
-    bool shared_capacity = false;
     // Accounts share the room of a service by urgency and evenly when it is short.
     bool fair_admission = false;
-    // One account bounds all bytes that are held for callers and upstreams.
-    bool memory_budget = false;
+    // The VMs tell each other how many requests upstreams have.
+    bool shared_loads = false;
+    // Each VM learns how many concurrent requests an upstream handles well.
+    bool learned_limits = false;
     bool operator==(const feature_set&) const = default;
 };
 
--- a/pistachiospan/upstreams/learned_limits.cpp
+++ b/pistachiospan/upstreams/learned_limits.cpp
@@ -14,7 +14,7 @@
 // The concurrent requests from all VMs that an upstream may have without a wait.
 double upstream_set::usable_requests(time_point now, const upstream& target) const
 {
-    if (!target.shared.limit || !this->shares_load(target))
+    if (!target.shared.limit || !this->options.learned_limits)
         return effective_slots(target.registration.slots);
     return target.shared.limit->usable(now);
 }
@@ -35,7 +35,7 @@
         return;
     this->note_load(now, target, *report);
     // A cold upstream's times say nothing about the later ones.
-    if (!this->shares_load(target) || target.is_cold(now) ||
+    if (!this->options.learned_limits || target.is_cold(now) ||
         chosen.started != target.registration.started)
         return;
     const std::uint32_t requests = report->running + report->waiting;
@@ -67,7 +67,7 @@
         [this, now](const auto& each)
         {
             const upstream& target = *each.second;
-            return target.shared.limit && this->shares_load(target) &&
+            return target.shared.limit && this->options.learned_limits &&
                    target.shared.limit->limit(now) < target.shared.limit->slots();
         }));
 }
--- a/pistachiospan/upstreams/loads.cpp
+++ b/pistachiospan/upstreams/loads.cpp
@@ -28,14 +28,6 @@
 
 } // namespace
 
-bool upstream_set::shares_load(const upstream& target) const
-{
-    if (this->options.shared_capacity)
-        return true;
-    const auto group = this->groups.find(target.registration.service);
-    return group != this->groups.end() && group->second.shares_load;
-}
-
 // The requests of this VM, and those of the others by the newest news about them, which
 // lose their weight with time.
 double upstream_set::load_of(time_point now, const upstream& target) const
@@ -62,7 +54,7 @@
 
 void upstream_set::note_abandoned(time_point now, upstream& target) const
 {
-    if (!this->shares_load(target))
+    if (!this->options.shared_loads)
         return;
     target.shared.abandoned = this->own_load(now, target) - target.in_flight + 1;
     target.shared.abandoned_at = now;
@@ -70,8 +62,6 @@
 
 void upstream_set::note_load(time_point now, upstream& target, const load_report& report)
 {
-    if (report.host_work_factor)
-        this->group_of(target.registration.service).shares_load = true;
     const std::uint32_t total = report.running + report.waiting;
     target.shared.reported = total;
     target.shared.reported_at = now;
@@ -87,7 +77,7 @@
     std::vector<capacity::upstream_load> loads;
     for (const auto& [id, each] : this->upstreams_by_id)
     {
-        if (!this->shares_load(*each))
+        if (!this->options.shared_loads)
             continue;
         each->shared.told = this->own_load(now, *each);
         const duration age = now - each->shared.reported_at;
@@ -111,7 +101,7 @@
         by_key.emplace(each.upstream, &each);
     for (const auto& [id, each] : this->upstreams_by_id)
     {
-        if (!this->shares_load(*each))
+        if (!this->options.shared_loads)
             continue;
         const auto found = by_key.find(capacity::key_of(id, each->registration.started));
         if (found == by_key.end() && !complete)
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -105,9 +105,10 @@
     duration speed_recovery_time = std::chrono::seconds(4);
     // Time constant with which the reported load of other VMs loses its weight.
     duration report_decay_time = std::chrono::milliseconds(400);
-    // The VMs share what they know about the load of all upstreams; otherwise only of
-    // those of services whose upstreams report the work time of their host.
-    bool shared_capacity = false;
+    // The VMs tell each other how many requests upstreams have.
+    bool shared_loads = false;
+    // The concurrency limits of upstreams are learned and used in place of their slots.
+    bool learned_limits = false;
     // The same time constant when the VMs share it: news come every one or two seconds.
     duration shared_decay_time = std::chrono::seconds(3);
     // Number of objects that one upstream is assumed to know.
@@ -450,7 +451,6 @@
         internal::learned_time unknown_time;
         internal::learned_time mean_time;
         duration cold_time{0};
-        bool shares_load = false;
         double cold_rate = 0;
         double demand = 0; // requests per second at this VM that may run in any region
         std::map<std::string, double> regional; // must run in this region
@@ -487,7 +487,6 @@
     const upstream* find(std::string_view id) const;
     service_group& group_of(const std::string& service);
     double load_of(time_point now, const upstream& target) const;
-    bool shares_load(const upstream& target) const;
     double own_load(time_point now, const upstream& target) const;
     void note_abandoned(time_point now, upstream& target) const;
     void note_load(time_point now, upstream& target, const load_report& report);
--- a/pistachiospan/world/world.cpp
+++ b/pistachiospan/world/world.cpp
@@ -143,7 +143,7 @@
         steering::core_options{
             .upstreams = {.seed = hash_bytes(vm.id.value),
                           .data_centre = vm.data_centre,
-                          .shared_capacity = this->options.shared_capacity},
+                          .shared_loads = this->options.shared_loads},
             .gateway = {.retry_ratio = this->options.retry_ratio, .seed = at},
             .fleet = {.vm = vm.id,
                       .started = ++vm.started,
--- a/pistachiospan/world/world.hpp
+++ b/pistachiospan/world/world.hpp
@@ -32,7 +32,7 @@
     std::vector<std::size_t> upstream_places = {};
     std::uint32_t slots = 5;     // of each upstream
     std::size_t max_queued = 10; // requests at an upstream beyond its slots
-    bool shared_capacity = false;
+    bool shared_loads = false;
     double requests_per_second = 300; // on an open route
     // Their requests come in addition, each at `account_load` times its rate.
     std::vector<configuration::account> accounts;
@@ -46,9 +46,9 @@
     double retry_slack = 40;       // retries, and as many more as the VMs times the next
     double retry_slack_per_vm = 2; // retries
     bool fair_admission = false;
-    double datagram_loss = 0;      // fraction of the datagrams between VMs
-    duration cold_time{0};         // an upstream is cold this long after its start
-    double cold_rate = 0;          // requests per second that a cold one tolerates
+    double datagram_loss = 0; // fraction of the datagrams between VMs
+    duration cold_time{0};    // an upstream is cold this long after its start
+    double cold_rate = 0;     // requests per second that a cold one tolerates
     // One way.
     duration within_data_centre = std::chrono::microseconds(100);
     duration within_region = std::chrono::milliseconds(1);
