--- a/pistachiospan/upstreams/learned_limits_test.cpp
+++ b/pistachiospan/upstreams/learned_limits_test.cpp
@@ -24,10 +24,11 @@
             .started = started};
 }
 
-upstreams::upstream_set make_set(bool shared)
+upstreams::upstream_set make_set(bool learned)
 {
-    upstreams::upstream_set known({.data_centre = "n1", .learned_limits = shared},
-                                  {{"n1", "north"}});
+    upstreams::upstream_set known(
+        {.data_centre = "n1", .shared_loads = true, .learned_limits = learned},
+        {{"n1", "north"}});
     known.update(start, entry_of(1));
     return known;
 }
