Take no load for told by other VMs before the first message

Cause: the time of the last estimate was the clock's origin before the first one, so it counted as recent during the first 6 s of the steady clock. A load report then lost its weight with 3 s instead of 400 ms, also where loads are not shared.

The time is absent now until there is an estimate. loads_test no_news_are_recent_when_the_clock_begins fails before and passes after.

--- a/pistachiospan/admission/controller.cpp
+++ b/pistachiospan/admission/controller.cpp
@@ -25,8 +25,8 @@
 constexpr double usual_room_time = 30; // seconds
 // Slot time that an account may save up, in requests of the longest route.
 constexpr double max_credit = 2;
-// Part of the remaining time for which callers wait before they send again.
-constexpr int patience_part = 3;
+// Callers wait at most this part of their remaining time before they send again.
+constexpr int max_wait_divisor = 3;
 // Part of the room that the requests of one urgency have at least for their turns.
 constexpr double min_turn_part = 0.05;
 // Assumed room for turns while nothing is known: one slot.
@@ -303,7 +303,7 @@
     const double rate = std::max(room - urgent, room * min_turn_part);
     return state.turns.next(now, refused.priority,
                             from_seconds(this->usual_time(state, refused.route) / rate),
-                            refused.time_left / patience_part);
+                            refused.time_left / max_wait_divisor);
 }
 
 duration controller::retry_turn(time_point now, const request& failed)
--- a/pistachiospan/upstreams/cold_tokens.cpp
+++ b/pistachiospan/upstreams/cold_tokens.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-// All VMs together hold the tokens of this time: 3 at 14 per second. The users' bound
-// leaves room for half of the rate and five requests.
+// All VMs together hold the tokens of this time at most. In one second they may spend
+// these beside the second's own: a quarter above the rate.
 constexpr double keep_seconds = 0.25;
 
 } // namespace
--- a/pistachiospan/upstreams/internal/shared_load.hpp
+++ b/pistachiospan/upstreams/internal/shared_load.hpp
@@ -22,7 +22,7 @@
     double told = 0;
     // Requests of the other VMs by the last estimate.
     double others = 0;
-    time_point others_at;
+    std::optional<time_point> others_at; // nullopt before the first estimate
     // Learned from the answers to this VM; nullopt before the first one.
     std::optional<capacity::concurrency_limit> limit;
 };
--- a/pistachiospan/upstreams/loads.cpp
+++ b/pistachiospan/upstreams/loads.cpp
@@ -23,7 +23,7 @@
 
 bool has_recent(const internal::shared_load& shared, time_point now)
 {
-    return now - shared.others_at <= max_news_age;
+    return shared.others_at && now - *shared.others_at <= max_news_age;
 }
 
 } // namespace
@@ -32,9 +32,10 @@
 // lose their weight with time.
 double upstream_set::load_of(time_point now, const upstream& target) const
 {
-    const bool is_shared = target.shared.others_at > target.reported_at;
+    const bool is_shared =
+        target.shared.others_at && *target.shared.others_at > target.reported_at;
     const double others = is_shared ? target.shared.others : target.remote_load;
-    const time_point at = is_shared ? target.shared.others_at : target.reported_at;
+    const time_point at = is_shared ? *target.shared.others_at : target.reported_at;
     // A VM that gets no news decides as if the load were not shared.
     const bool has_news = has_recent(target.shared, now);
     const duration decay_time =
@@ -111,7 +112,7 @@
         const duration age = found == by_key.end() ? duration(0) : found->second->age;
         // All VMs learn that an upstream has become free at the same time. The load falls
         // no faster than with its age, so that they do not fill the queue together.
-        const double elapsed = micros(now - each->shared.others_at);
+        const double elapsed = micros(now - each->shared.others_at.value_or(now));
         const double before =
             each->shared.others *
             std::exp(-elapsed / micros(this->options.shared_decay_time));
--- a/pistachiospan/upstreams/loads_test.cpp
+++ b/pistachiospan/upstreams/loads_test.cpp
@@ -73,6 +73,19 @@
     }
 }
 
+// Guards against an unset time that is taken for recent news shortly after the clock has
+// begun: a report would then count for seconds although loads are not shared.
+BOOST_AUTO_TEST_CASE(no_news_are_recent_when_the_clock_begins)
+{
+    upstreams::upstream_set known = make_set(false, 1);
+    BOOST_TEST(known.told_loads(time_point(1s)) == 0U);
+    const upstreams::selection chosen = known.select(time_point(1s), urgent);
+    known.begin(time_point(1s), chosen);
+    known.end(time_point(1s) + 10ms, chosen, upstreams::outcome::answered, 10ms,
+              upstreams::load_report{.running = 3, .waiting = 9});
+    BOOST_TEST(known.views(time_point(3s)).front().load < 1);
+}
+
 // Guards against an upstream that stays out of use after a restart, or when no more news
 // come.
 BOOST_AUTO_TEST_CASE(loads_end_with_a_restart_and_without_news)
--- a/pistachiospan/upstreams/upstreams.hpp
+++ b/pistachiospan/upstreams/upstreams.hpp
@@ -107,10 +107,11 @@
     duration report_decay_time = std::chrono::milliseconds(400);
     // The VMs tell each other how many requests upstreams have.
     bool shared_loads = false;
+    // Time constant with which that load loses its weight: messages come every one or two
+    // seconds.
+    duration shared_decay_time = std::chrono::seconds(3);
     // The concurrency limits of upstreams are learned and used in place of their slots.
     bool learned_limits = false;
-    // The same time constant when the VMs share it: news come every one or two seconds.
-    duration shared_decay_time = std::chrono::seconds(3);
     // Number of objects that one upstream is assumed to know.
     std::size_t max_known_objects = 64;
     double cold_work_factor = 2.0; // work at a cold upstream
