--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -25,10 +26,27 @@
 STAMP = "Pistachiospan-Server-Stamp"
 
 
-def free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+# Below the range from which the kernel takes the ports of connecting sockets.
+FIRST_PORT, LAST_PORT = 20000, 32000
+PORTS_OF_EDGE = 32
+
+
+def is_free(ip, port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                return False
+    return True
+
+
+def free_ports(ip):
+    """Returns the first one of PORTS_OF_EDGE ports that are free."""
+    while True:
+        first = random.randrange(FIRST_PORT, LAST_PORT, PORTS_OF_EDGE)
+        if all(is_free(ip, first + offset) for offset in range(PORTS_OF_EDGE)):
+            return first
 
 
 class Record:
@@ -296,9 +314,10 @@
         self.record, self.ip, self.name = record, ip, name
         self.memory_mb = memory_mb
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
-        self.ports = {each: free_port(ip) for each in
-                      ("frontend", "readiness", "controlPlane", "directory")}
-        internal = free_port(ip)
+        first_port = free_ports(ip)
+        self.ports = {each: first_port + offset for offset, each in enumerate(
+            ("frontend", "readiness", "controlPlane", "directory"))}
+        internal = first_port + PORTS_OF_EDGE // 2
         lines = {
             "node": name, "role": "edge", "machineClass": "frontend",
             "serves": "frontend,directory", "ipAddress": ip, "zone": zone,
