--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -304,6 +304,9 @@
           "quotaOverrun=0.1,quotaSlack=20,coldOverrun=1.5,coldSlack=5,evacuationMs=5000,"
           "recoveryS=15,ttl_max_s=5,maxShift=0.15")
 CONTRACTS = "base,drain,config,cost,retry,recover,places,tenants,quota,platform"
+# Of sjedalo-mreza-grown.
+PRESSURE_CONTRACTS = ("base,drain,config,cost,retry,recover,health,pool,places,tenants,"
+                      "quota,pressure,platform")
 
 
 class Edge:
