Count in the review's cases 6 to 8 just what the rule counts

Cause: cases 6 and 7 also failed for the killed process alone, and a deadline on an open channel would have counted as lost. Change: only requests whose channel ended without an answer count.

--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -473,8 +473,11 @@
                                  {"Host": self.host, ID: request_id,
                                   DEADLINE: str(self.deadline_ms)}),
                         self.deadline_ms / 1000 + 2)
-                except (EOFError, ConnectionError, asyncio.IncompleteReadError,
-                        asyncio.TimeoutError) as problem:
+                except asyncio.TimeoutError:
+                    self.record(f"client {self.name}: {request_id} has no answer in "
+                                "time; its channel is open")
+                    return
+                except (EOFError, ConnectionError, asyncio.IncompleteReadError) as problem:
                     self.record(f"client {self.name}: {request_id} ends without an "
                                 f"answer: {type(problem).__name__}")
                     self.unanswered.append(request_id)
