Log by which page a change of a table came and which removals are held

A page with rows logs a table_page line: source, position of the page and of the copy, rows and how many of them changed the copy, the removals that are held since, and the time that the read took.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -126,6 +126,7 @@
     bool known_elsewhere(time_point now, std::uint64_t operator_change) const;
     void apply_upstream(const mirror::row& changed);
     void remove_upstream(const std::string& id);
+    void log_left();
 
     void tick();
     void check_peers();
@@ -140,6 +141,13 @@
     void finish_when_idle();
     void log(std::string_view event, const fields& content);
 
+    // Upstreams that are not in use any more.
+    struct left_upstreams
+    {
+        std::vector<std::string> draining;
+        std::vector<std::string> removed;
+    };
+
     event_base* base;
     edge_options options;
     translation codec;
@@ -153,6 +161,7 @@
     std::unordered_map<http1::exchange_id, http1::call_id> forwarded;
     std::unordered_map<http1::exchange_id, http1::request> exchanges; // not yet answered
     std::set<std::string> evacuated;
+    left_upstreams left; // since the last log line on them
     http1::server callers;
     std::unique_ptr<http1::server> directory_server;
     std::unique_ptr<http1::server> readiness_server;
@@ -376,6 +385,7 @@
                 [this](std::string_view name, const internal::read_outcome& outcome)
             {
                 this->metrics.count_read(name, outcome.from_store, outcome.succeeded);
+                this->log_left();
             }};
 }
 
@@ -602,6 +612,8 @@
     const time_point now = monotonic_now();
     decoded.value().max_age = this->tables.upstream_row_age(now);
     const std::string change = this->core.upstreams().update(now, decoded.value());
+    if (decoded.value().draining && !change.empty())
+        this->left.draining.push_back(changed.key);
     if (!change.empty())
         this->log("upstream", {{"upstream", changed.key},
                                {"change", change},
@@ -613,14 +625,30 @@
 
 void edge_daemon::implementation::remove_upstream(const std::string& id)
 {
-    if (this->core.upstreams().remove(id))
-        this->log("upstream", {{"upstream", id}, {"change", "removed"}});
+    if (!this->core.upstreams().remove(id))
+        return;
+    this->left.removed.push_back(id);
+    this->log("upstream", {{"upstream", id}, {"change", "removed"}});
+}
+
+// Logs in one line which upstreams the latest change of the registry has taken out of
+// use. The `upstream` lines are rate-limited, and many upstreams may leave at once.
+void edge_daemon::implementation::log_left()
+{
+    const left_upstreams all = std::exchange(this->left, {});
+    if (all.draining.empty() && all.removed.empty())
+        return;
+    const std::uint64_t position = this->tables.copy(table::upstreams).position();
+    this->log("upstreams_left", {{"draining", all.draining},
+                                 {"removed", all.removed},
+                                 {"store_position", store_version::number_of(position)}});
 }
 
 void edge_daemon::implementation::tick()
 {
     const time_point now = monotonic_now();
     this->tables.tick(now);
+    this->log_left();
     this->core.fleet().tick(now);
 }
 
--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -59,7 +59,13 @@
     const mirror::relay_page& page = outcome.value();
     this->copy.apply_relay_page(now, page);
     this->last_read = now;
-    this->hooks.read_finished({.succeeded = true});
+    this->hooks.read_finished({.succeeded = true,
+                               .source = this->source,
+                               .is_snapshot = page.is_snapshot,
+                               .rows = page.content.rows.size(),
+                               .position = page.content.position,
+                               .held = page.held.size(),
+                               .took = now - this->read_started_at});
     this->relay_instance = page.instance;
     this->relay_cursor = page.cursor;
     this->next_read.start(this->read_started_at + this->options.min_interval - now);
@@ -107,7 +113,12 @@
         this->store_reachable = true;
         this->hooks.regained();
     }
-    this->hooks.read_finished({.from_store = true, .succeeded = true});
+    this->hooks.read_finished({.from_store = true,
+                               .succeeded = true,
+                               .is_snapshot = is_snapshot,
+                               .rows = outcome.value().rows.size(),
+                               .position = outcome.value().position,
+                               .took = now - this->read_started_at});
     this->next_read.start(this->read_started_at + this->options.min_interval - now);
 }
 
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -34,7 +34,13 @@
     bool from_store = false; // false: from another VM
     bool succeeded = false;
     bool timed_out = false; // the store did not answer
-    std::string source;     // peer address of the other VM
+    std::string source;     // peer address of the other VM; empty: the store
+    // Of the page that was read, if the read succeeded.
+    bool is_snapshot = false;
+    std::size_t rows = 0;
+    std::uint64_t position = 0;
+    std::size_t held = 0; // rows whose removal the other VM holds
+    duration took{0};
 };
 
 struct follower_hooks
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -104,17 +104,23 @@
         mirror::table_mirror copy;
         follower table_follower;
         std::uint64_t published = 0; // cursor of the copy
+        // For the log: the cursor of the copy after the last page, and the rows whose
+        // removal it holds since.
+        std::uint64_t logged_cursor = 0;
+        std::vector<std::string> held_keys;
         // Newest change of another VM for which the store was read. It may stay above the
         // copy's: a removal that is seen as a row missing from a snapshot has no version.
         std::uint64_t requested_change = 0;
     };
 
+    followed_table& followed(table which);
     follower_hooks make_hooks(table which);
     // Adds what is logged about the copy.
     mirror::mirror_hooks with_logs(table which, mirror::mirror_hooks applied);
     // The store has come back from an older copy, as reads of the table show.
     void note_restored(table which);
     void finish_read(table which, const read_outcome& outcome);
+    void log_page(table which, const read_outcome& outcome);
     void note_store_read(table which, bool succeeded);
     // False if reads of either table have failed for `follower_options::lost_after`.
     bool reaches_store(time_point now) const;
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -1,5 +1,7 @@
 #include "pistachiospan/edge/internal/store_view.hpp"
 
+#include "pistachiospan/edge/internal/log_fields.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -51,6 +53,10 @@
                          {"known", store_version::number_of(what.known)},
                          {"known_generation", store_version::generation_of(what.known)}});
     };
+    applied.removal_held = [this, which](const std::string& key)
+    {
+        this->followed(which).held_keys.push_back(key);
+    };
     applied.restored = [this, which]
     {
         this->note_restored(which);
@@ -109,9 +115,32 @@
             }};
 }
 
+// Logs a page with rows, whether or not they have changed this VM's copy: it shows by
+// which way and when a change has come.
+void store_view::log_page(table which, const read_outcome& outcome)
+{
+    followed_table& read = this->followed(which);
+    const std::uint64_t before = std::exchange(read.logged_cursor, read.copy.cursor());
+    const std::vector<std::string> held_keys = std::exchange(read.held_keys, {});
+    if (outcome.rows == 0 && held_keys.empty())
+        return;
+    this->hooks.log("table_page",
+                    {{"table", name_of(which)},
+                     {"source", outcome.from_store ? "store" : outcome.source},
+                     {"snapshot", outcome.is_snapshot},
+                     {"rows", outcome.rows},
+                     {"applied", read.copy.cursor() - before},
+                     {"held_by_source", outcome.held},
+                     {"removals_held", held_keys},
+                     {"page_position", store_version::number_of(outcome.position)},
+                     {"position", store_version::number_of(read.copy.position())},
+                     {"took_ms", to_milliseconds(outcome.took)}});
+}
+
 void store_view::finish_read(table which, const read_outcome& outcome)
 {
     this->hooks.read_finished(name_of(which), outcome);
+    this->log_page(which, outcome);
     if (!outcome.succeeded && !outcome.from_store)
         this->fleet.note_disconnected(monotonic_now(), outcome.source);
     // The pending read of the operator rows, which waits longer, may hang on the
@@ -127,8 +156,7 @@
 {
     const time_point now = monotonic_now();
     this->last_store_try = now;
-    followed_table& read =
-        which == table::operator_rows ? this->operator_rows : this->upstreams;
+    followed_table& read = this->followed(which);
     // The change was not fetched. While the store can be reached, catch_up() requests it
     // again.
     if (!succeeded && read.table_follower.reaches_store(now))
@@ -143,6 +171,11 @@
     this->upstreams.table_follower.start();
 }
 
+store_view::followed_table& store_view::followed(table which)
+{
+    return which == table::operator_rows ? this->operator_rows : this->upstreams;
+}
+
 const mirror::table_mirror& store_view::copy(table which) const
 {
     return which == table::operator_rows ? this->operator_rows.copy
--- a/pistachiospan/mirror/mirror.cpp
+++ b/pistachiospan/mirror/mirror.cpp
@@ -196,11 +196,16 @@
     this->hooks.removed(key);
 }
 
-void table_mirror::hold_removal(time_point due, const std::string& key,
-                                std::uint64_t version)
+void table_mirror::hold_removal(time_point now, duration grace, const row& removed)
 {
-    if (this->rows.contains(key))
-        this->held_removals.emplace(key, removal{.due = due, .version = version});
+    if (!this->rows.contains(removed.key))
+        return;
+    const bool is_new =
+        this->held_removals
+            .emplace(removed.key, removal{.due = now + grace, .version = removed.version})
+            .second;
+    if (is_new && this->hooks.removal_held)
+        this->hooks.removal_held(removed.key);
 }
 
 bool table_mirror::end_outage(time_point now)
@@ -230,9 +235,9 @@
     {
         // A missing row does not show the version of its removal.
         if (restored)
-            this->hold_removal(now + this->options.restore_grace, each.key, each.version);
+            this->hold_removal(now, this->options.restore_grace, each);
         else if (after_outage)
-            this->hold_removal(now + this->options.removal_grace, each.key, each.version);
+            this->hold_removal(now, this->options.removal_grace, each);
         else if (!this->held_removals.contains(each.key))
             this->remove(now, each.key, each.version);
     }
@@ -264,7 +269,7 @@
         else if (!each.deleted)
             this->apply(now, each, from, false);
         else if (after_outage)
-            this->hold_removal(now + this->options.removal_grace, each.key, each.version);
+            this->hold_removal(now, this->options.removal_grace, each);
         else
             this->remove(now, each.key, each.version);
     }
--- a/pistachiospan/mirror/mirror.hpp
+++ b/pistachiospan/mirror/mirror.hpp
@@ -112,6 +112,9 @@
     std::function<void(const passed_over&)> passed_over = nullptr;
     // The store has come back from an older copy.
     std::function<void()> restored = nullptr;
+    // For logs. The store does not have the row any more, and its removal takes effect
+    // after a grace period.
+    std::function<void(const std::string& key)> removal_held = nullptr;
 };
 
 enum class origin
@@ -194,7 +197,7 @@
     bool end_outage(time_point now);
     void remove(time_point now, const std::string& key, std::uint64_t version);
     void append_history(const row& change);
-    void hold_removal(time_point due, const std::string& key, std::uint64_t version);
+    void hold_removal(time_point now, duration grace, const row& removed);
 
     mirror_options options;
     mirror_hooks hooks;
