Carry out removals that another VM holds, whatever is read next

Callers could get an upstream that had left, without bound (DRAIN): a VM that copies a table from one that holds a removal after an outage keeps the row as well, and its position is past the removal. If it reads the store next, or a page of the other VM is older than its copy by then, it never sees the removal. And a page with the row as it was ended the hold of a VM that held the removal itself.

Class: the position of a copy says more than the copy holds. A VM takes over the holds of the VM that it reads from now, with a grace period of its own; another source that shows the removal ends it at once, as before. Only a later version of the row ends a hold.

Tests in mirror_test: removals_held_by_another_vm_take_effect_without_it and a_row_as_it_was_does_not_end_the_hold_of_its_removal failed before (0 of 1 removals) and pass; removals_held_elsewhere_take_effect_when_another_source_shows_them keeps what was right.

--- a/pistachiospan/mirror/mirror.cpp
+++ b/pistachiospan/mirror/mirror.cpp
@@ -70,7 +70,6 @@
 
 void table_mirror::set(const row& update)
 {
-    this->held_removals.erase(update.key);
     this->revived_rows.erase(update.key);
     row& current = this->rows[update.key];
     if (current.version >= update.version)
@@ -79,6 +78,7 @@
             this->report_passed_over({update.key, update.version, current.version});
         return;
     }
+    this->held_removals.erase(update.key);
     current = update;
     this->removed_rows.erase(update.key);
     this->append_history(update);
@@ -196,18 +196,37 @@
     this->hooks.removed(key);
 }
 
-void table_mirror::hold_removal(time_point now, duration grace, const row& removed)
+void table_mirror::hold_removal(time_point now, duration grace, const row& removed,
+                                origin from)
 {
     if (!this->rows.contains(removed.key))
         return;
-    const bool is_new =
-        this->held_removals
-            .emplace(removed.key, removal{.due = now + grace, .version = removed.version})
-            .second;
+    const removal added{.due = now + grace, .version = removed.version, .holder = from};
+    const auto [held, is_new] = this->held_removals.emplace(removed.key, added);
+    if (from == origin::store)
+        held->second.holder = origin::store;
     if (is_new && this->hooks.removal_held)
         this->hooks.removal_held(removed.key);
 }
 
+// True if this copy holds the removal because of an outage of its own.
+bool table_mirror::holds_removal(const std::string& key) const
+{
+    const auto held = this->held_removals.find(key);
+    return held != this->held_removals.end() && held->second.holder == origin::store;
+}
+
+// The store does not have these rows any more, and the other VM removes them after a
+// grace period. This copy's position is past their removal now, so that no other source
+// would show it.
+void table_mirror::adopt_held_removals(time_point now, std::span<const std::string> keys)
+{
+    for (const std::string& key : keys)
+        if (const auto known = this->rows.find(key); known != this->rows.end())
+            this->hold_removal(now, this->options.removal_grace, known->second,
+                               origin::peer);
+}
+
 bool table_mirror::end_outage(time_point now)
 {
     const bool failed = std::exchange(this->read_failing, false);
@@ -238,7 +257,7 @@
             this->hold_removal(now, this->options.restore_grace, each);
         else if (after_outage)
             this->hold_removal(now, this->options.removal_grace, each);
-        else if (!this->held_removals.contains(each.key))
+        else if (!this->holds_removal(each.key))
             this->remove(now, each.key, each.version);
     }
     this->finish_page(all, from, restored);
@@ -318,9 +337,11 @@
         this->apply_snapshot(now, content, origin::peer);
     else
         this->apply_changes(now, content, origin::peer);
+    if (this->current_position != content.position)
+        return;
     // What happened to rows while this VM's own reads failed is known from there.
-    if (this->current_position == content.position)
-        this->read_failing = false;
+    this->read_failing = false;
+    this->adopt_held_removals(now, received.held);
 }
 
 relay_page table_mirror::changes_since(std::uint64_t instance, std::uint64_t cursor) const
--- a/pistachiospan/mirror/mirror.hpp
+++ b/pistachiospan/mirror/mirror.hpp
@@ -22,6 +22,7 @@
 
 #include <deque>
 #include <map>
+#include <span>
 #include <vector>
 
 namespace pistachiospan::mirror
@@ -197,7 +198,10 @@
     bool end_outage(time_point now);
     void remove(time_point now, const std::string& key, std::uint64_t version);
     void append_history(const row& change);
-    void hold_removal(time_point now, duration grace, const row& removed);
+    void hold_removal(time_point now, duration grace, const row& removed,
+                      origin from = origin::store);
+    bool holds_removal(const std::string& key) const;
+    void adopt_held_removals(time_point now, std::span<const std::string> keys);
 
     mirror_options options;
     mirror_hooks hooks;
@@ -206,6 +210,7 @@
     {
         time_point due;
         std::uint64_t version = 0;
+        origin holder = origin::store; // peer: not this copy but the one it reads from
     };
     std::map<std::string, removal> held_removals; // removals that take effect later
     std::map<std::string, removed_row> removed_rows;
--- a/pistachiospan/mirror/mirror_test.cpp
+++ b/pistachiospan/mirror/mirror_test.cpp
@@ -408,3 +408,68 @@
     BOOST_TEST(follower.removed == std::vector<std::string>{"a"},
                boost::test_tools::per_element());
 }
+
+// Guards against an upstream that has left and stays in use for good (DRAIN): a VM that
+// has copied the table from another one, which holds the removal after an outage, reads
+// the store from its position on, which is past the removal.
+BOOST_AUTO_TEST_CASE(removals_held_by_another_vm_take_effect_without_it)
+{
+    recorded_mirror holding;
+    recorded_mirror follower;
+    const mirror::page before = {.rows = {row("a", 5), row("b", 6)}, .position = 6};
+    holding.copy.apply_snapshot(start, before);
+    follower.copy.apply_snapshot(start, before);
+    holding.copy.note_read_failure(start);
+    holding.copy.apply_changes(start + 2s,
+                               {.rows = {removed_row("a", 7)}, .position = 8});
+    follower.copy.apply_relay_page(start + 2s, holding.copy.changes_since(0, 0));
+    BOOST_TEST(follower.removed.empty());
+    follower.copy.apply_changes(start + 3s, {.rows = {row("c", 9)}, .position = 9});
+    follower.copy.tick(start + 5s);
+    BOOST_TEST(follower.removed == std::vector<std::string>{"a"},
+               boost::test_tools::per_element());
+}
+
+// Guards against a removal that is put off again and again, or for good: the copy of a VM
+// that holds it as well still has the row as it was.
+BOOST_AUTO_TEST_CASE(a_row_as_it_was_does_not_end_the_hold_of_its_removal)
+{
+    recorded_mirror other;
+    recorded_mirror table;
+    const mirror::page before = {.rows = {row("a", 5), row("b", 6)}, .position = 6};
+    const mirror::page after = {.rows = {row("b", 6)}, .position = 8};
+    for (recorded_mirror* each : {&other, &table})
+    {
+        each->copy.apply_snapshot(start, before);
+        each->copy.note_read_failure(start);
+        each->copy.apply_snapshot(start + 2s, after);
+    }
+    table.copy.apply_relay_page(start + 4s, other.copy.changes_since(0, 0));
+    table.copy.tick(start + 4500ms);
+    BOOST_TEST(table.removed == std::vector<std::string>{"a"},
+               boost::test_tools::per_element());
+}
+
+// Guards against an upstream that stays in use for longer than without the other VM: a
+// hold that was learned from one VM ends when another source shows the removal.
+BOOST_AUTO_TEST_CASE(removals_held_elsewhere_take_effect_when_another_source_shows_them)
+{
+    for (const bool by_store : {true, false})
+    {
+        recorded_mirror holding;
+        recorded_mirror follower;
+        const mirror::page before = {.rows = {row("a", 5), row("b", 6)}, .position = 6};
+        const mirror::page after = {.rows = {row("b", 6)}, .position = 8};
+        holding.copy.apply_snapshot(start, before);
+        follower.copy.apply_snapshot(start, before);
+        holding.copy.note_read_failure(start);
+        holding.copy.apply_snapshot(start + 2s, after);
+        follower.copy.apply_relay_page(start + 2s, holding.copy.changes_since(0, 0));
+        BOOST_TEST(follower.removed.empty());
+        follower.copy.apply_snapshot(start + 2500ms, after,
+                                     by_store ? mirror::origin::store
+                                              : mirror::origin::peer);
+        BOOST_TEST(follower.removed == std::vector<std::string>{"a"},
+                   boost::test_tools::per_element());
+    }
+}
