Count a copy that was read in parts as complete only up to its position

A registry of more than 500 rows is read from the store in parts. Its position is that of the first part, and later parts bring changes beyond it, but not all. Callers could get an upstream that had left (DRAIN), in two ways:

- VMs tell each other their newest change to find out who is behind.
A VM told the newest one of the later parts, so nothing showed that it lacked earlier ones of the first part.
- A VM at a later position passed such a copy over, with changes that it did not have, and went on from the sender's cursor: they were never sent again.

Now the newest change is one up to which nothing is missing, and a VM that passes a page over asks for the same changes again, after 200 ms at the earliest.

Tests: follower_test changes_that_were_passed_over_are_read_again (before: newest change 7 instead of 9) and mirror_test newest_change_is_one_up_to_which_nothing_is_missing (before: 12 instead of 5).

--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -57,7 +57,7 @@
         return;
     }
     const mirror::relay_page& page = outcome.value();
-    this->copy.apply_relay_page(now, page);
+    const bool accepted = this->copy.apply_relay_page(now, page);
     this->last_read = now;
     this->hooks.read_finished({.succeeded = true,
                                .source = this->source,
@@ -66,6 +66,14 @@
                                .position = page.content.position,
                                .held = page.held.size(),
                                .took = now - this->read_started_at});
+    if (!accepted)
+    {
+        // The other VM is behind. It sends the same changes again when it has caught up.
+        const duration pause =
+            std::max(this->options.min_interval, this->options.behind_interval);
+        this->next_read.start(this->read_started_at + pause - now);
+        return;
+    }
     this->relay_instance = page.instance;
     this->relay_cursor = page.cursor;
     this->next_read.start(this->read_started_at + this->options.min_interval - now);
--- a/pistachiospan/edge/follower_test.cpp
+++ b/pistachiospan/edge/follower_test.cpp
@@ -36,11 +36,11 @@
 }
 
 // A VM that has read the old version from the store, and then reads from another VM,
-// whose copy stays at it. The store has the new version since and has discarded its
-// history.
+// which has `peer_page` and stays at it. The store has the new version since and has
+// discarded its history.
 struct following_vm
 {
-    following_vm()
+    explicit following_vm(const mirror::page& peer_page = page_of(old_version))
         : base(event_base_new(), &event_base_free), copy(make_copy(1)),
           peer_copy(make_copy(2)),
           own_link(this->base.get(), own_address, this->hooks_for(this->copy)),
@@ -66,7 +66,7 @@
                       [](const edge::internal::read_outcome&) {
                       }})
     {
-        this->peer_copy.apply_snapshot(event_loop::monotonic_now(), page_of(old_version));
+        this->peer_copy.apply_snapshot(event_loop::monotonic_now(), peer_page);
         this->reader.start();
     }
 
@@ -119,3 +119,20 @@
     BOOST_TEST(vm.reaches(new_version));
     BOOST_TEST(vm.snapshots == 2);
 }
+
+// Guards against a change that never reaches a VM, for example that an upstream leaves
+// (DRAIN). The store's snapshot is read in parts and may contain changes that are later
+// than its position. A VM that is at a later position passes such a copy of another VM
+// over, and the other VM must send these changes again.
+BOOST_AUTO_TEST_CASE(changes_that_were_passed_over_are_read_again)
+{
+    const mirror::page in_parts{.rows = page_of(new_version).rows,
+                                .position = old_version - 1};
+    following_vm vm(in_parts);
+    BOOST_TEST_REQUIRE(vm.reaches(old_version));
+    // Time to read from the other VM, which is behind.
+    BOOST_TEST_REQUIRE(!vm.reaches(new_version));
+    vm.peer_copy.apply_changes(event_loop::monotonic_now(), page_of(new_version));
+    BOOST_TEST(vm.reaches(new_version));
+    BOOST_TEST(vm.copy.newest_change() == new_version);
+}
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -17,6 +17,8 @@
     // Minimum interval between the starts of two reads, so that changes in quick
     // succession are fetched by one read.
     duration min_interval = std::chrono::milliseconds(100);
+    // The same while the other VM is behind this one.
+    duration behind_interval = std::chrono::milliseconds(200);
     // How long the store or the other VM holds a read open while there is no change.
     duration wait = std::chrono::seconds(2);
     // A read of the store is overdue when it takes this much longer than `wait`.
--- a/pistachiospan/mirror/mirror.cpp
+++ b/pistachiospan/mirror/mirror.cpp
@@ -266,6 +266,10 @@
 void table_mirror::finish_page(const page& received, origin from, bool restored)
 {
     this->current_position = received.position;
+    this->complete_change =
+        std::max(this->complete_change, this->last_change <= received.position
+                                            ? this->last_change
+                                            : this->newest_row_up_to(received.position));
     if (!restored)
         return;
     const bool is_known = std::exchange(this->restore_unread, from == origin::peer);
@@ -273,6 +277,17 @@
         this->hooks.restored();
 }
 
+// A snapshot that is read in parts contains some changes beyond its position, but not
+// all.
+std::uint64_t table_mirror::newest_row_up_to(std::uint64_t position) const
+{
+    std::uint64_t newest = 0;
+    for (const auto& [key, each] : this->rows)
+        if (each.version <= position)
+            newest = std::max(newest, each.version);
+    return newest;
+}
+
 void table_mirror::apply_changes(time_point now, const page& changes, origin from)
 {
     if (!this->is_later(changes))
@@ -323,7 +338,7 @@
 
 // A row whose removal the other VM holds is kept here, but not added: this VM had no such
 // outage.
-void table_mirror::apply_relay_page(time_point now, const relay_page& received)
+bool table_mirror::apply_relay_page(time_point now, const relay_page& received)
 {
     page content = received.content;
     std::erase_if(content.rows,
@@ -338,10 +353,11 @@
     else
         this->apply_changes(now, content, origin::peer);
     if (this->current_position != content.position)
-        return;
+        return false;
     // What happened to rows while this VM's own reads failed is known from there.
     this->read_failing = false;
     this->adopt_held_removals(now, received.held);
+    return true;
 }
 
 relay_page table_mirror::changes_since(std::uint64_t instance, std::uint64_t cursor) const
--- a/pistachiospan/mirror/mirror.hpp
+++ b/pistachiospan/mirror/mirror.hpp
@@ -36,7 +36,9 @@
     bool deleted = false;
 };
 
-// Rows of a table at one point in time. `position` is the store's newest version then.
+// Rows of a table. `position` is the store's newest version at the time of reading. If
+// the rows were read in parts, it belongs to the first part: all changes up to it are
+// included, and some later ones.
 struct page
 {
     std::vector<row> rows;
@@ -133,8 +135,10 @@
     void apply_snapshot(time_point now, const page& all, origin from = origin::store);
     // Applies the rows that changed after position().
     void apply_changes(time_point now, const page& changes, origin from = origin::store);
-    // Applies a page from another VM.
-    void apply_relay_page(time_point now, const relay_page& received);
+    // Applies a page from another VM. Returns false if the page was passed over, because
+    // this copy is at a later position; it may have changes all the same that this copy
+    // does not have, which a later page must contain again.
+    bool apply_relay_page(time_point now, const relay_page& received);
 
     // Notes a failed read of the store. The next successful one ends the outage.
     void note_read_failure(time_point now);
@@ -155,11 +159,11 @@
     {
         return this->current_position;
     }
-    // The highest version of a changed or removed row. VMs compare it to find out which
-    // of them is behind.
+    // The highest version of a changed or removed row, up to the position. VMs compare it
+    // to find out which of them is behind.
     std::uint64_t newest_change() const
     {
-        return this->last_change;
+        return this->complete_change;
     }
     page snapshot() const;
 
@@ -184,6 +188,7 @@
     // True if the page is the first one of a later generation.
     bool is_restored(const page& received) const;
     void finish_page(const page& received, origin from, bool restored);
+    std::uint64_t newest_row_up_to(std::uint64_t position) const;
     content_age age_of(const row& received, const row& known) const;
     // True if the content of the row is older than what is known of it.
     bool is_outdated(const row& received) const;
@@ -222,9 +227,10 @@
     // Removed rows that are back, until they take effect.
     std::map<std::string, revived_row> revived_rows;
     std::uint64_t current_position = 0;
-    std::uint64_t last_change = 0;
-    std::uint64_t changes = 0; // number of changes of this copy
-    std::deque<row> history;   // the latest changes
+    std::uint64_t last_change = 0;     // newest version of a change that was applied
+    std::uint64_t complete_change = 0; // the same, up to the position
+    std::uint64_t changes = 0;         // number of changes of this copy
+    std::deque<row> history;           // the latest changes
     bool restore_unread = false;
     bool read_failing = false;
     time_point failing_since;
--- a/pistachiospan/mirror/mirror_test.cpp
+++ b/pistachiospan/mirror/mirror_test.cpp
@@ -473,3 +473,17 @@
                    boost::test_tools::per_element());
     }
 }
+
+// Guards against a VM that does not find out that it is behind (DRAIN): of the changes
+// beyond the position of a snapshot that was read in parts, it has the newest and lacks
+// others.
+BOOST_AUTO_TEST_CASE(newest_change_is_one_up_to_which_nothing_is_missing)
+{
+    recorded_mirror table;
+    table.copy.apply_snapshot(start,
+                              {.rows = {row("a", 5), row("b", 12)}, .position = 10});
+    BOOST_TEST(table.copy.newest_change() == 5U);
+    table.copy.apply_changes(start,
+                             {.rows = {row("a", 11), row("b", 12)}, .position = 13});
+    BOOST_TEST(table.copy.newest_change() == 12U);
+}
