Do not read tables from a VM that reads from this one

Callers got upstreams for seconds after they had left (DRAIN): a coordinator that the store refuses reads from a member that has read the store lately. The member had read it once, because it was behind, and reads from the coordinator again. Neither gets news until the member's read is 1.5 s old; then the coordinator takes the next such member.

Class: a VM is taken for up to date by when it read the store last, or by whom it follows, not by where its next news comes from.

- a VM tells the age of its last read of the store only while it keeps reading the store, so VMs that read it once are not taken for readers;
- queries between VMs name the asking VM, and a VM does not choose a source that reads from itself: a member that its coordinator reads from stays with the store.
VMs of earlier versions ignore the name.

--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -23,8 +23,9 @@
 {
     ++this->read_sequence;
     this->read_started_at = monotonic_now();
-    const bool from_store = std::exchange(this->force_store, false);
-    this->source = from_store ? std::string() : this->hooks.choose_source();
+    const std::string chosen = this->hooks.choose_source();
+    this->is_forced = std::exchange(this->force_store, false) && !chosen.empty();
+    this->source = this->is_forced ? std::string() : chosen;
     if (this->source.empty())
         this->read_store();
     else
--- a/pistachiospan/edge/internal/peer_link.hpp
+++ b/pistachiospan/edge/internal/peer_link.hpp
@@ -30,7 +30,8 @@
     table followed = table::operator_rows;
     std::uint64_t instance = 0; // copy that the cursor refers to
     std::uint64_t cursor = 0;
-    duration wait{0}; // how long to wait for a change
+    duration wait{0};   // how long to wait for a change
+    std::string reader; // peer address of the VM that asks; empty: an earlier version's
 };
 
 class peer_link
@@ -55,6 +56,9 @@
     // Answers the pending requests for changes of this table.
     void publish(table changed);
 
+    // True if the VM with this peer address reads tables from this one.
+    bool is_read_by(time_point now, const std::string& address) const;
+
 private:
     struct pending_query
     {
@@ -69,12 +73,14 @@
     void expire();
     void answer_pending(const std::function<bool(const pending_query&)>& ready);
 
+    std::string address; // own peer address
     peer_link_hooks hooks;
     int socket = -1;
     event_loop::event_ptr readable;
     http1::server table_server;
     http1::client client;
     std::vector<pending_query> pending;
+    std::unordered_map<std::string, time_point> readers; // last query of each VM
     event_loop::periodic_timer expiry;
     std::unordered_map<std::string, sockaddr_in> parsed_addresses;
 };
--- a/pistachiospan/edge/peer_link.cpp
+++ b/pistachiospan/edge/peer_link.cpp
@@ -23,6 +23,8 @@
 // Time for one answer, in addition to the requested wait for a change.
 constexpr duration fetch_timeout = std::chrono::milliseconds(600);
 constexpr duration expiry_interval = std::chrono::milliseconds(250);
+// A VM that reads tables from this one asks at least this often.
+constexpr duration reader_timeout = std::chrono::seconds(1);
 
 std::string text_of(const sockaddr_in& address)
 {
@@ -53,12 +55,13 @@
                                 "; free the address or correct the settings");
 }
 
-// Formats "/table/instance/cursor/wait" with the wait in microseconds.
+// Formats "/table/instance/cursor/wait?reader" with the wait in microseconds. VMs of
+// earlier versions neither send nor read the reader.
 std::string target_of(const relay_query& query)
 {
     std::ostringstream target;
     target << '/' << static_cast<int>(query.followed) << '/' << query.instance << '/'
-           << query.cursor << '/' << query.wait.count();
+           << query.cursor << '/' << query.wait.count() << '?' << query.reader;
     return target.str();
 }
 
@@ -74,16 +77,20 @@
     }
     if (numbers[0] > static_cast<std::uint64_t>(table::upstreams))
         return std::nullopt;
-    return relay_query{.followed = static_cast<table>(numbers[0]),
-                       .instance = numbers[1],
-                       .cursor = numbers[2],
-                       .wait = duration(static_cast<std::int64_t>(numbers[3]))};
+    relay_query query{.followed = static_cast<table>(numbers[0]),
+                      .instance = numbers[1],
+                      .cursor = numbers[2],
+                      .wait = duration(static_cast<std::int64_t>(numbers[3]))};
+    char separator = 0;
+    if (fields >> separator && separator == '?')
+        fields >> query.reader;
+    return query;
 }
 
 } // namespace
 
 peer_link::peer_link(event_base* base, const std::string& address, peer_link_hooks hooks)
-    : hooks(std::move(hooks)), socket(open_socket(address)),
+    : address(address), hooks(std::move(hooks)), socket(open_socket(address)),
       readable(event_new(
           base, this->socket, EV_READ | EV_PERSIST,
           [](evutil_socket_t, short, void* self)
@@ -145,8 +152,10 @@
 http1::call_id peer_link::fetch(const std::string& address, const relay_query& query,
                                 relay_handler done)
 {
+    relay_query sent = query;
+    sent.reader = this->address;
     return this->client.send(
-        address, {.method = "GET", .target = target_of(query)},
+        address, {.method = "GET", .target = target_of(sent)},
         {.timeout = query.wait + fetch_timeout},
         [done = std::move(done)](const http1::call_result& outcome)
         {
@@ -172,6 +181,8 @@
         this->table_server.respond(exchange, {.status = 404});
         return;
     }
+    if (!query->reader.empty())
+        this->readers[query->reader] = event_loop::monotonic_now();
     const mirror::relay_page page =
         this->hooks.copy(query->followed).changes_since(query->instance, query->cursor);
     if (page.is_snapshot || !page.content.rows.empty())
@@ -198,8 +209,17 @@
 
 void peer_link::expire()
 {
-    this->answer_pending([now = event_loop::monotonic_now()](const pending_query& each)
+    const time_point now = event_loop::monotonic_now();
+    this->answer_pending([now](const pending_query& each)
                          { return now >= each.deadline; });
+    std::erase_if(this->readers,
+                  [now](const auto& each) { return now - each.second > reader_timeout; });
+}
+
+bool peer_link::is_read_by(time_point now, const std::string& address) const
+{
+    const auto known = this->readers.find(address);
+    return known != this->readers.end() && now - known->second <= reader_timeout;
 }
 
 void peer_link::answer_pending(const std::function<bool(const pending_query&)>& ready)
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -216,7 +216,8 @@
 // one, from the VM with the newest copies.
 std::string store_view::choose_source(time_point now) const
 {
-    std::string reader = this->fleet.reader(now, this->store_age(now));
+    std::string reader =
+        this->unless_reader(now, this->fleet.reader(now, this->store_age(now)));
     if (!reader.empty())
         return reader;
     const std::string coordinator = this->fleet.coordinator_address();
@@ -225,7 +226,7 @@
                                                                           : coordinator;
     if (this->reaches_store(now) || this->may_try_store(now, 1))
         return {};
-    std::string remote = this->fleet.remote_reader(now);
+    std::string remote = this->unless_reader(now, this->fleet.remote_reader(now));
     if (!remote.empty())
         return remote;
     const auto best =
@@ -234,6 +235,11 @@
     return best ? best->peer_address : std::string();
 }
 
+std::string store_view::unless_reader(time_point now, std::string address) const
+{
+    return this->peers.is_read_by(now, address) ? std::string() : std::move(address);
+}
+
 // True if this VM has read the store recently or is due to try it again. The interval of
 // attempts grows with the number of VMs that share them.
 bool store_view::may_try_store(time_point now, std::size_t vm_count) const
@@ -269,8 +275,9 @@
 {
     const duration age = this->store_age(now);
     const bool follows =
-        !this->fleet.reader(now, age).empty() ||
-        (!this->reaches_store(now) && !this->fleet.remote_reader(now).empty());
+        !this->unless_reader(now, this->fleet.reader(now, age)).empty() ||
+        (!this->reaches_store(now) &&
+         !this->unless_reader(now, this->fleet.remote_reader(now)).empty());
     return follows ? duration(0) : age;
 }
 
@@ -279,6 +286,12 @@
     return this->upstreams.table_follower.store_age(now);
 }
 
+duration store_view::reported_store_age(time_point now) const
+{
+    return this->upstreams.table_follower.follows_store() ? this->store_age(now)
+                                                          : duration::max();
+}
+
 // Reads the store if this VM stays behind: the VM that it reads from may itself hang on a
 // dead connection.
 void store_view::catch_up(time_point now)
