Keep a member with the store that its coordinator reads from

A VM still does not choose one that reads from it, and a member that its coordinator reads from reads the store while it reaches it, also if its last read was a single one.

edge_test vms_that_read_from_each_other_do_not_wait_for_news passes.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -508,7 +508,7 @@
             .configuration_version = active == nullptr ? 0 : active->version(),
             .operator_change = this->tables.copy(table::operator_rows).newest_change(),
             .registry_change = this->tables.copy(table::upstreams).newest_change(),
-            .store_age = this->tables.reported_store_age(now),
+            .store_age = this->tables.store_age(now),
             .table_staleness =
                 std::min(this->tables.staleness(now), max_reported_staleness)};
 }
--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -23,9 +23,8 @@
 {
     ++this->read_sequence;
     this->read_started_at = monotonic_now();
-    const std::string chosen = this->hooks.choose_source();
-    this->is_forced = std::exchange(this->force_store, false) && !chosen.empty();
-    this->source = this->is_forced ? std::string() : chosen;
+    const bool from_store = std::exchange(this->force_store, false);
+    this->source = from_store ? std::string() : this->hooks.choose_source();
     if (this->source.empty())
         this->read_store();
     else
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -92,13 +92,6 @@
         return this->last_store_read ? now - *this->last_store_read : duration::max();
     }
 
-    // True if this VM keeps reading the store, and does not only make up for what the VM
-    // that it reads from lacks.
-    bool follows_store() const
-    {
-        return this->source.empty() && !this->is_forced;
-    }
-
 private:
     void read();
     void read_store();
@@ -124,7 +117,6 @@
     std::optional<time_point> last_store_read; // the same, of the store
     std::string source;       // of the read in progress; empty: the store
     bool force_store = false; // the next read uses the store, not choose_source()
-    bool is_forced = false;   // the latest read uses the store for that reason
     http1::call_id relay_call = 0;
     std::uint64_t relay_instance = 0;
     std::uint64_t relay_cursor = 0;
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -89,9 +89,6 @@
     // `duration::max()` if there was none. The registry is the table that is read most
     // often.
     duration store_age(time_point now) const;
-    // The same for other VMs, which may read from this one: `duration::max()` while this
-    // VM reads from another one itself. VMs that read from each other would get no news.
-    duration reported_store_age(time_point now) const;
 
 private:
     struct followed_table
@@ -128,7 +125,8 @@
     // False if reads of either table have failed for `follower_options::lost_after`.
     bool reaches_store(time_point now) const;
     std::string choose_source(time_point now) const;
-    // The peer address, or an empty one if that VM reads from this one.
+    // The peer address, or an empty one if that VM reads from this one: VMs that read
+    // from each other would get no news.
     std::string unless_reader(time_point now, std::string address) const;
     bool may_try_store(time_point now, std::size_t vm_count) const;
     void publish(followed_table& followed);
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -222,8 +222,14 @@
         return reader;
     const std::string coordinator = this->fleet.coordinator_address();
     if (!coordinator.empty())
-        return this->may_try_store(now, this->fleet.known_member_count()) ? std::string()
-                                                                          : coordinator;
+    {
+        const bool serves_coordinator =
+            this->reaches_store(now) && this->peers.is_read_by(now, coordinator);
+        const bool reads_store =
+            serves_coordinator ||
+            this->may_try_store(now, this->fleet.known_member_count());
+        return reads_store ? std::string() : coordinator;
+    }
     if (this->reaches_store(now) || this->may_try_store(now, 1))
         return {};
     std::string remote = this->unless_reader(now, this->fleet.remote_reader(now));
@@ -286,12 +292,6 @@
     return this->upstreams.table_follower.store_age(now);
 }
 
-duration store_view::reported_store_age(time_point now) const
-{
-    return this->upstreams.table_follower.follows_store() ? this->store_age(now)
-                                                          : duration::max();
-}
-
 // Reads the store if this VM stays behind: the VM that it reads from may itself hang on a
 // dead connection.
 void store_view::catch_up(time_point now)
