Split the edge daemon's source by what its parts do

The class moves to internal/implementation.hpp, what the rows of the tables change to table_changes.cpp, directory, readiness and metrics to endpoints.cpp. No line of a function changes; compared as sorted lines, only declarations and includes differ.

--- a/pistachiospan/edge/edge.cpp
+++ b/pistachiospan/edge/edge.cpp
@@ -1,14 +1,6 @@
-#include "pistachiospan/edge/edge.hpp"
-
-#include "pistachiospan/edge/internal/log_fields.hpp"
-#include "pistachiospan/edge/internal/metrics.hpp"
-#include "pistachiospan/edge/internal/peer_link.hpp"
-#include "pistachiospan/edge/internal/store_view.hpp"
-#include "pistachiospan/event_log/event_log.hpp"
-#include "pistachiospan/event_loop/event_loop.hpp"
+#include "pistachiospan/edge/internal/implementation.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace pistachiospan::edge
 {
@@ -17,11 +9,10 @@
 {
 
 using event_loop::monotonic_now;
-using event_loop::one_shot_timer;
-using event_loop::periodic_timer;
 using event_loop::wall_now;
+using internal::body_memory_divisor;
+using internal::fields;
 using internal::to_milliseconds;
-using fields = nlohmann::ordered_json;
 
 // Callers with a cached directory answer still connect after SIGTERM: the VM accepts
 // their requests for this fraction of the grace period.
@@ -43,15 +34,6 @@
 // Upper bound of the reported age of this VM's copies.
 constexpr duration max_reported_staleness = std::chrono::minutes(1);
 
-// A VM that has not read the operator rows for this long, or has just started, assumes
-// that an evacuation it learns of has been in force for a while.
-constexpr duration in_force_age = std::chrono::seconds(3);
-
-// File descriptors reserved for everything except callers' connections.
-constexpr std::size_t reserved_descriptors = 900;
-// Divides the memory limit: the quotient may be used for buffered bodies.
-constexpr std::size_t body_memory_divisor = 4;
-
 // Longest idle time after which a kept-alive connection is reused. After a longer one the
 // upstream may already have closed it, and a request that must not be repeated would be
 // lost; the limit for these is therefore lower.
@@ -86,100 +68,6 @@
 
 } // namespace
 
-class edge_daemon::implementation
-{
-public:
-    implementation(event_base* base, edge_options options, translation codec,
-                   store_access store);
-
-    ~implementation()
-    {
-        event_loop::set_error_handler(nullptr);
-    }
-    implementation(const implementation&) = delete;
-    implementation& operator=(const implementation&) = delete;
-
-    void stop();
-    void reload(const edge_options& next);
-
-private:
-    steering::core_options make_core_options() const;
-    http1::server_hooks make_caller_hooks();
-    steering::core_hooks make_core_hooks();
-    internal::store_view_hooks make_store_hooks();
-
-    void handle_request(http1::exchange_id id, http1::request&& incoming);
-    gateway::call_id send(const gateway::attempt& attempt);
-    void forward(http1::exchange_id id, const std::string& address, duration time_left);
-    void refuse(http1::exchange_id id, const gateway::refusal_answer& answer);
-    quarantine::fingerprint identify(http1::exchange_id id,
-                                     const std::string& account) const;
-    void check_connection(const upstreams::upstream_start& upstream,
-                          const std::string& address);
-    void record(const gateway::record& decision);
-    void log_change(const steering::upstream_event& event);
-
-    void apply_operator_row(const mirror::row& changed);
-    void activate(const mirror::row& changed);
-    // `version`: of the changed row; 0: a row was removed.
-    void apply_evacuations(std::uint64_t version);
-    bool known_elsewhere(time_point now, std::uint64_t operator_change) const;
-    void apply_upstream(const mirror::row& changed);
-    void remove_upstream(const std::string& id);
-    void log_left();
-
-    void tick();
-    void check_peers();
-    void note_version(time_point now, const vm_id& peer, std::uint64_t version);
-    fleet_node::own_state current_state(time_point now) const;
-    void check_tokens();
-
-    void answer_directory(http1::exchange_id id, const http1::request& request);
-    void answer_readiness(http1::exchange_id id, const http1::request& request);
-    void answer_metrics(http1::exchange_id id, const http1::request& request);
-    bool ready() const;
-    void finish_when_idle();
-    void log(std::string_view event, const fields& content);
-
-    // Upstreams that are not in use any more.
-    struct left_upstreams
-    {
-        std::vector<std::string> draining;
-        std::vector<std::string> removed;
-    };
-
-    event_base* base;
-    edge_options options;
-    translation codec;
-    store_access store;
-    incarnation started;
-    event_log::event_log events;
-    internal::metrics metrics;
-    steering::core core;
-    http1::client upstream_client;
-    http1::client vm_client; // to other VMs, as a caller of theirs
-    std::unordered_map<http1::exchange_id, http1::call_id> forwarded;
-    std::unordered_map<http1::exchange_id, http1::request> exchanges; // not yet answered
-    std::set<std::string> evacuated;
-    left_upstreams left; // since the last log line on them
-    http1::server callers;
-    std::unique_ptr<http1::server> directory_server;
-    std::unique_ptr<http1::server> readiness_server;
-    std::unique_ptr<http1::server> metrics_server;
-    internal::peer_link peers;
-    internal::store_view tables;
-    periodic_timer ticker;
-    periodic_timer peer_checker;
-    one_shot_timer token_timer; // pending while token queries are outstanding
-    one_shot_timer first_check;
-    one_shot_timer table_starter;
-    one_shot_timer exit_timer;
-    std::uint64_t answers = 0;
-    bool stopping = false;
-    bool accepting = true;
-    time_point stop_started_at;
-};
-
 edge_daemon::implementation::implementation(event_base* base, edge_options options,
                                             translation codec, store_access store)
     : base(base), options(std::move(options)), codec(std::move(codec)),
@@ -513,137 +401,6 @@
                 std::min(this->tables.staleness(now), max_reported_staleness)};
 }
 
-void edge_daemon::implementation::apply_operator_row(const mirror::row& changed)
-{
-    if (this->codec.is_configuration(changed.key))
-        this->activate(changed);
-    else
-        this->apply_evacuations(changed.version);
-}
-
-void edge_daemon::implementation::activate(const mirror::row& changed)
-{
-    result<configuration::content> decoded =
-        this->codec.decode_configuration(changed.value);
-    if (!decoded)
-    {
-        this->log("configuration_rejected",
-                  {{"row_version", store_version::number_of(changed.version)},
-                   {"problem", decoded.error().message}});
-        return;
-    }
-    const auto next =
-        std::make_shared<const configuration::state>(std::move(decoded.value()));
-    const configuration::state* active = this->core.requests().active();
-    if (active != nullptr && next->version() <= active->version())
-    {
-        this->log("configuration_older",
-                  {{"version", next->version()}, {"active", active->version()}});
-        return;
-    }
-    for (const std::string& remark : next->warnings())
-        this->log("configuration_remark",
-                  {{"version", next->version()}, {"remark", remark}});
-    this->tables.note_configuration_applied();
-    this->core.set_configuration(next);
-    this->callers.set_limits(
-        {.max_header = next->limits().max_header,
-         .max_body = next->limits().max_body,
-         .max_buffered = this->options.max_memory / body_memory_divisor,
-         .max_connections =
-             std::max(this->options.max_descriptors, 2 * reserved_descriptors) -
-             reserved_descriptors,
-         .header_timeout = next->limits().header_timeout,
-         .idle_timeout = next->limits().idle_timeout});
-    this->log("configuration",
-              {{"version", next->version()},
-               {"row_version", store_version::number_of(changed.version)},
-               {"routes", next->routes().size()},
-               {"accounts", next->accounts().size()}});
-}
-
-void edge_daemon::implementation::apply_evacuations(std::uint64_t version)
-{
-    std::set<std::string> all;
-    for (const mirror::row& each :
-         this->tables.copy(table::operator_rows).snapshot().rows)
-        if (const auto data_centre = this->codec.decode_evacuation(each.key))
-            all.insert(*data_centre);
-    if (all == this->evacuated)
-        return;
-    this->evacuated = all;
-    const time_point now = monotonic_now();
-    const duration age = this->tables.operator_rows_age(now);
-    const bool in_force = age > in_force_age && this->known_elsewhere(now, version);
-    this->core.upstreams().set_evacuated(now, all, in_force);
-    this->log("evacuation", {{"data_centres", all},
-                             {"in_force", in_force},
-                             {"news_age_ms", to_milliseconds(age)}});
-}
-
-// Whether another VM had this change before, according to its reports. A VM that has just
-// started or was disconnected learns of changes long after the others. Without a loaded
-// table this is assumed.
-bool edge_daemon::implementation::known_elsewhere(time_point now,
-                                                  std::uint64_t operator_change) const
-{
-    if (!this->tables.copy(table::operator_rows).loaded())
-        return true;
-    return operator_change > 0 && this->core.fleet()
-                                      .best_informed(now, operator_change - 1, UINT64_MAX)
-                                      .has_value();
-}
-
-void edge_daemon::implementation::apply_upstream(const mirror::row& changed)
-{
-    result<upstreams::entry> decoded =
-        this->codec.decode_upstream(changed.key, changed.value);
-    if (!decoded)
-    {
-        // The entry is another writer's, so it says nothing about the upstream of its
-        // key.
-        this->log("upstream_unreadable",
-                  {{"upstream", changed.key},
-                   {"row_version", store_version::number_of(changed.version)},
-                   {"problem", decoded.error().message}});
-        this->metrics.count_unreadable_entry();
-        return;
-    }
-    const time_point now = monotonic_now();
-    decoded.value().max_age = this->tables.upstream_row_age(now);
-    const std::string change = this->core.upstreams().update(now, decoded.value());
-    if (decoded.value().draining && !change.empty())
-        this->left.draining.push_back(changed.key);
-    if (!change.empty())
-        this->log("upstream", {{"upstream", changed.key},
-                               {"change", change},
-                               {"service", decoded.value().service},
-                               {"address", decoded.value().address},
-                               {"row_version", store_version::number_of(changed.version)},
-                               {"cold_ms", to_milliseconds(decoded.value().cold_left)}});
-}
-
-void edge_daemon::implementation::remove_upstream(const std::string& id)
-{
-    if (!this->core.upstreams().remove(id))
-        return;
-    this->left.removed.push_back(id);
-    this->log("upstream", {{"upstream", id}, {"change", "removed"}});
-}
-
-// Logs in one line which upstreams the latest change of the registry has taken out of
-// use. The `upstream` lines are rate-limited, and many upstreams may leave at once.
-void edge_daemon::implementation::log_left()
-{
-    const left_upstreams all = std::exchange(this->left, {});
-    if (all.draining.empty() && all.removed.empty())
-        return;
-    const std::uint64_t position = this->tables.copy(table::upstreams).position();
-    this->log("upstreams_left", {{"draining", all.draining},
-                                 {"removed", all.removed},
-                                 {"store_position", store_version::number_of(position)}});
-}
-
 void edge_daemon::implementation::tick()
 {
     const time_point now = monotonic_now();
@@ -678,86 +435,6 @@
         this->token_timer.start(token_interval);
 }
 
-bool edge_daemon::implementation::ready() const
-{
-    return this->core.requests().active() != nullptr &&
-           this->tables.copy(table::upstreams).loaded() && !this->stopping;
-}
-
-void edge_daemon::implementation::answer_directory(http1::exchange_id id,
-                                                   const http1::request& request)
-{
-    http1::server& server = *this->directory_server;
-    const std::optional<location> caller = this->codec.decode_directory(request);
-    if (!caller)
-    {
-        server.respond(id, {.status = 404});
-        return;
-    }
-    const std::vector<std::string> addresses = this->core.fleet().addresses_for(
-        monotonic_now(), caller->region, caller->data_centre);
-    if (addresses.empty())
-        server.respond(id, {.status = 503});
-    else
-        server.respond(
-            id, this->codec.encode_directory(addresses, this->options.directory_ttl));
-}
-
-void edge_daemon::implementation::answer_readiness(http1::exchange_id id,
-                                                   const http1::request& request)
-{
-    http1::server& server = *this->readiness_server;
-    if (this->codec.is_readiness(request))
-        server.respond(id, {.status = this->ready() ? 200 : 503});
-    else
-        server.respond(id, {.status = 404});
-}
-
-void edge_daemon::implementation::answer_metrics(http1::exchange_id id,
-                                                 const http1::request&)
-{
-    const configuration::state* active = this->core.requests().active();
-    const gateway::counts totals = this->core.requests().totals();
-    const auto set = [this](const std::string& name, auto value)
-    {
-        this->metrics.set(name, static_cast<double>(value));
-    };
-    set("configuration_version", active == nullptr ? 0 : active->version());
-    set("requests_pending", totals.pending);
-    set("attempts", totals.attempts);
-    set("retries", totals.retries);
-    set("coordinates", this->core.fleet().role() == cell::role::coordinator ? 1 : 0);
-    set("limited_attempts", totals.limited_attempts);
-    set("limit_refusals", totals.limit_refusals);
-    set("upstreams", this->core.upstreams().size());
-    set("upstream_loads_told", this->core.upstreams().told_loads(monotonic_now()));
-    set("upstream_limits_lowered",
-        this->core.upstreams().lowered_limits(monotonic_now()));
-    set("limited_upstreams", this->core.upstreams().limited_upstreams().size());
-    set("upstreams_reachable",
-        this->core.upstreams().is_cut_off(monotonic_now()) ? 0 : 1);
-    set("forwarded_pending", this->forwarded.size());
-    set("quarantined_requests", this->core.requests().suspects().quarantined_count());
-    set("upstream_connections_opened", this->upstream_client.connections_opened());
-    set("caller_connections", this->callers.connections());
-    const http1::pipelining_counts pipelined = this->callers.pipelining();
-    set("overlapped_requests", pipelined.overlapped);
-    set("held_requests", pipelined.held);
-    set("paused_callers", pipelined.pauses);
-    set("most_unanswered_of_a_caller", pipelined.most_unanswered);
-    const std::uint64_t position = this->tables.copy(table::upstreams).position();
-    set("store_position", store_version::number_of(position));
-    set("store_generation", store_version::generation_of(position));
-    set("log_lines_left_out", this->events.suppressed_lines());
-    set("log_lines_lost", this->events.dropped_lines());
-    this->metrics.set_retries(this->core.requests().retry_totals(monotonic_now()));
-    this->metrics.set_admission(this->core.admission_views(monotonic_now()));
-    this->metrics_server->respond(
-        id, {.status = 200,
-             .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-             .body = this->metrics.render()});
-}
-
 void edge_daemon::implementation::stop()
 {
     if (this->stopping)
