Do not give up a source that works for a store that does not answer

Two parts of one fault:

- A VM took itself for behind, and read the store, if at three checks in a row any VM was ahead.
On the deployment with 295 VMs some VM always is while 20 to 50 changes a second arrive.
It follows one change now: behind is who lacks that one for 0.5 s.
- The forced read replaced the read of the VM's source, and each newer change began it anew, so it was never overdue.
A forced read that is pending when the next one is due gives way to the source, if there is one, and is overdue after 0.9 s (operator rows: 2.3 s before).

--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -23,8 +23,8 @@
 {
     ++this->read_sequence;
     this->read_started_at = monotonic_now();
-    const bool from_store = std::exchange(this->force_store, false);
-    this->source = from_store ? std::string() : this->hooks.choose_source();
+    this->is_forced = std::exchange(this->force_store, false);
+    this->source = this->is_forced ? std::string() : this->hooks.choose_source();
     if (this->source.empty())
         this->read_store();
     else
@@ -159,7 +159,9 @@
 {
     if (this->read_sequence == 0)
         return;
-    const duration max_duration = this->options.wait + this->options.overdue_after;
+    const duration max_duration = this->is_forced
+                                      ? this->options.forced_limit
+                                      : this->options.wait + this->options.overdue_after;
     if (this->source.empty() && now - this->read_started_at <= max_duration)
         return;
     if (this->hooks.choose_source() == this->source)
@@ -180,7 +182,11 @@
     if (this->read_sequence == 0 ||
         (this->source.empty() && this->read_started_at >= since))
         return false;
-    this->force_store = true;
+    // A read that was forced before has brought nothing so far, so another source is
+    // asked if there is one: the store may not answer this VM.
+    const bool store_is_late =
+        this->source.empty() && this->is_forced && !this->hooks.choose_source().empty();
+    this->force_store = !store_is_late;
     this->restart();
     return true;
 }
--- a/pistachiospan/edge/follower_test.cpp
+++ b/pistachiospan/edge/follower_test.cpp
@@ -52,8 +52,11 @@
                     done(page_of(this->snapshots == 1 ? old_version : new_version));
                 },
                 .read_changes =
-                    [](table, std::uint64_t, duration, const edge::page_handler& done)
-                { done(failure(errc::stale, "history discarded; read a snapshot")); },
+                    [this](table, std::uint64_t, duration, const edge::page_handler& done)
+                {
+                    if (!this->store_is_silent)
+                        done(failure(errc::stale, "history discarded; read a snapshot"));
+                },
                 .cancel_read =
                     [](table) {
                     }},
@@ -101,6 +104,7 @@
     edge::store_access store;
     follower reader;
     int snapshots = 0;
+    bool store_is_silent = false;
 };
 
 } // namespace
@@ -136,3 +140,24 @@
     BOOST_TEST(vm.reaches(new_version));
     BOOST_TEST(vm.copy.newest_change() == new_version);
 }
+
+// Guards against a VM that gives up a source that works for a store that does not answer
+// it, again for each newer change: a data centre learned of upstreams that had left only
+// when the store answered again (DRAIN).
+BOOST_AUTO_TEST_CASE(forced_reads_that_get_no_answer_do_not_replace_a_source_that_works)
+{
+    following_vm vm;
+    BOOST_TEST_REQUIRE(vm.reaches(old_version));
+    BOOST_TEST_REQUIRE(!vm.reaches(new_version));
+    vm.store_is_silent = true;
+    vm.peer_copy.apply_changes(event_loop::monotonic_now(), page_of(new_version));
+    const time_point first_behind = event_loop::monotonic_now();
+    const auto another_vm_has_newer_changes = [&]
+    {
+        vm.reader.read_from_store_since(event_loop::monotonic_now());
+    };
+    event_loop::periodic_timer changes(vm.base.get(), 500ms,
+                                       another_vm_has_newer_changes);
+    vm.reader.read_from_store_since(first_behind);
+    BOOST_TEST(vm.reaches(new_version));
+}
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -23,6 +23,9 @@
     duration wait = std::chrono::seconds(2);
     // A read of the store is overdue when it takes this much longer than `wait`.
     duration overdue_after = std::chrono::milliseconds(300);
+    // The same for a read that another VM's newer change has caused: the store should
+    // answer it at once.
+    duration forced_limit = std::chrono::milliseconds(900);
     // The store counts as unreachable after failures for this long: a shorter failure
     // does not justify moving the reads to another VM.
     duration lost_after = std::chrono::milliseconds(900);
@@ -67,7 +70,8 @@
     void restart();
     // Restarts with a read of the store, because another VM has had a newer change since
     // `since`. Returns false and does nothing if the pending read of the store started
-    // later: it fetches that change.
+    // later: it fetches that change. If a read that was forced earlier is still pending,
+    // restarts with the chosen source.
     bool read_from_store_since(time_point since);
     // False if reads of the store have failed for `lost_after`.
     bool reaches_store(time_point now) const
@@ -117,6 +121,7 @@
     std::optional<time_point> last_store_read; // the same, of the store
     std::string source;       // of the read in progress; empty: the store
     bool force_store = false; // the next read uses the store, not choose_source()
+    bool is_forced = false;   // the read in progress uses the store for that reason
     http1::call_id relay_call = 0;
     std::uint64_t relay_instance = 0;
     std::uint64_t relay_cursor = 0;
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -7,6 +7,7 @@
 #define PISTACHIOSPAN_EDGE_INTERNAL_STORE_VIEW_HPP
 
 #include "pistachiospan/edge/edge.hpp"
+#include "pistachiospan/edge/internal/change_watch.hpp"
 #include "pistachiospan/edge/internal/follower.hpp"
 #include "pistachiospan/edge/internal/peer_link.hpp"
 #include "pistachiospan/fleet_node/fleet_node.hpp"
@@ -25,7 +26,7 @@
     // Interval of further attempts while the store does not answer. The VMs of a data
     // centre share these attempts.
     duration store_retry = std::chrono::milliseconds(700);
-    // A VM whose copies are older than those of another VM for this long reads the store
+    // A VM whose copies have lacked a change of another VM for this long reads the store
     // itself.
     duration behind_limit = std::chrono::milliseconds(500);
     // The store is read if another VM has had a newer configuration for this long. A
@@ -111,6 +112,7 @@
         // Newest change of another VM for which the store was read. It may stay above the
         // copy's: a removal that is seen as a row missing from a snapshot has no version.
         std::uint64_t requested_change = 0;
+        change_watch watch;
     };
 
     followed_table& followed(table which);
@@ -132,8 +134,8 @@
     void publish(followed_table& followed);
     void publish_changes();
     void catch_up(time_point now);
-    static void read_if_behind(followed_table& followed, std::uint64_t change,
-                               time_point since);
+    bool lacks_change(time_point now, const followed_table& followed) const;
+    static void read_if_behind(followed_table& followed, std::uint64_t change);
 
     store_view_options options;
     peer_link& peers;
@@ -144,7 +146,6 @@
     bool started = false;
     std::uint64_t restored_generation = 0; // of the last restore
     time_point last_store_try;
-    time_point behind_since;
     std::optional<time_point> version_behind_since;
     bool applies_held_rows = false; // now, in tick()
 };
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -296,16 +296,17 @@
 // dead connection.
 void store_view::catch_up(time_point now)
 {
-    const auto best = this->fleet.best_informed(now, this->operator_rows.newest_known(),
-                                                this->upstreams.newest_known());
-    if (!best)
-    {
-        this->behind_since = now;
-        return;
-    }
-    if (now - this->behind_since < this->options.behind_limit)
+    const std::uint64_t known_operator_change = this->operator_rows.newest_known();
+    const std::uint64_t known_registry_change = this->upstreams.newest_known();
+    const auto best =
+        this->fleet.best_informed(now, known_operator_change, known_registry_change);
+    this->operator_rows.watch.check(now, known_operator_change,
+                                    best ? best->operator_change : 0);
+    this->upstreams.watch.check(now, known_registry_change,
+                                best ? best->registry_change : 0);
+    if (!best || !(this->lacks_change(now, this->operator_rows) ||
+                   this->lacks_change(now, this->upstreams)))
         return;
-    const time_point since = std::exchange(this->behind_since, now);
     this->hooks.log(
         "tables_behind",
         {{"peer", best->vm.value},
@@ -313,17 +314,21 @@
          {"operator_change", number_of(this->operator_rows.copy.newest_change())},
          {"peer_registry_change", number_of(best->registry_change)},
          {"registry_change", number_of(this->upstreams.copy.newest_change())}});
-    read_if_behind(this->operator_rows, best->operator_change, since);
-    read_if_behind(this->upstreams, best->registry_change, since);
+    read_if_behind(this->operator_rows, best->operator_change);
+    read_if_behind(this->upstreams, best->registry_change);
+}
+
+bool store_view::lacks_change(time_point now, const followed_table& followed) const
+{
+    return followed.watch.missing_for(now) >= this->options.behind_limit;
 }
 
-void store_view::read_if_behind(followed_table& followed, std::uint64_t change,
-                                time_point since)
+void store_view::read_if_behind(followed_table& followed, std::uint64_t change)
 {
     if (change <= followed.newest_known())
         return;
     followed.requested_change = change;
-    followed.table_follower.read_from_store_since(since);
+    followed.table_follower.read_from_store_since(followed.watch.missing_since());
 }
 
 bool store_view::reread_configuration(time_point now)
