Count how long the store has not answered across reads that are begun anew

A VM with a source that works goes back to it then.

Test: follower_test forced_reads_that_get_no_answer_do_not_replace_a_source_that_works, with the checks that the daemon makes; fails on (no news within 1.5 s) and passes.

--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -26,9 +26,14 @@
     this->is_forced = std::exchange(this->force_store, false);
     this->source = this->is_forced ? std::string() : this->hooks.choose_source();
     if (this->source.empty())
+    {
+        if (!this->unanswered_since)
+            this->unanswered_since = this->read_started_at;
         this->read_store();
-    else
-        this->read_peer(this->source);
+        return;
+    }
+    this->unanswered_since.reset();
+    this->read_peer(this->source);
 }
 
 void follower::read_peer(const std::string& address)
@@ -103,6 +108,7 @@
     if (sequence != this->read_sequence)
         return;
     const time_point now = monotonic_now();
+    this->unanswered_since.reset();
     if (!outcome)
     {
         this->handle_failure(outcome.error());
@@ -162,7 +168,7 @@
     const duration max_duration = this->is_forced
                                       ? this->options.forced_limit
                                       : this->options.wait + this->options.overdue_after;
-    if (this->source.empty() && now - this->read_started_at <= max_duration)
+    if (this->unanswered_since && now - *this->unanswered_since <= max_duration)
         return;
     if (this->hooks.choose_source() == this->source)
         return;
@@ -179,14 +185,15 @@
 
 bool follower::read_from_store_since(time_point since)
 {
-    if (this->read_sequence == 0 ||
-        (this->source.empty() && this->read_started_at >= since))
+    if (this->read_sequence == 0)
+        return false;
+    const duration pending_for = monotonic_now() - this->read_started_at;
+    const bool is_awaited =
+        this->read_started_at >= since ||
+        (this->is_forced && pending_for <= this->options.forced_limit);
+    if (this->source.empty() && is_awaited)
         return false;
-    // A read that was forced before has brought nothing so far, so another source is
-    // asked if there is one: the store may not answer this VM.
-    const bool store_is_late =
-        this->source.empty() && this->is_forced && !this->hooks.choose_source().empty();
-    this->force_store = !store_is_late;
+    this->force_store = true;
     this->restart();
     return true;
 }
--- a/pistachiospan/edge/follower_test.cpp
+++ b/pistachiospan/edge/follower_test.cpp
@@ -82,10 +82,10 @@
                 }};
     }
 
-    // Runs the event loop until the copy has the version, for a second at most.
-    bool reaches(std::uint64_t version)
+    // Runs the event loop until the copy has the version, for this time at most.
+    bool reaches(std::uint64_t version, duration limit = 1s)
     {
-        const time_point end = event_loop::monotonic_now() + 1s;
+        const time_point end = event_loop::monotonic_now() + limit;
         while (this->copy.position() < version && event_loop::monotonic_now() < end)
         {
             event_loop::one_shot_timer wake(this->base.get(), [this]
@@ -151,13 +151,14 @@
     BOOST_TEST_REQUIRE(!vm.reaches(new_version));
     vm.store_is_silent = true;
     vm.peer_copy.apply_changes(event_loop::monotonic_now(), page_of(new_version));
-    const time_point first_behind = event_loop::monotonic_now();
+    vm.reader.read_from_store_since(event_loop::monotonic_now());
     const auto another_vm_has_newer_changes = [&]
     {
         vm.reader.read_from_store_since(event_loop::monotonic_now());
     };
     event_loop::periodic_timer changes(vm.base.get(), 500ms,
                                        another_vm_has_newer_changes);
-    vm.reader.read_from_store_since(first_behind);
-    BOOST_TEST(vm.reaches(new_version));
+    event_loop::periodic_timer checks(
+        vm.base.get(), 250ms, [&] { vm.reader.reconsider(event_loop::monotonic_now()); });
+    BOOST_TEST(vm.reaches(new_version, 1500ms));
 }
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -70,8 +70,7 @@
     void restart();
     // Restarts with a read of the store, because another VM has had a newer change since
     // `since`. Returns false and does nothing if the pending read of the store started
-    // later: it fetches that change. If a read that was forced earlier is still pending,
-    // restarts with the chosen source.
+    // later, or was forced and is not overdue: it fetches that change.
     bool read_from_store_since(time_point since);
     // False if reads of the store have failed for `lost_after`.
     bool reaches_store(time_point now) const
@@ -127,6 +126,9 @@
     std::uint64_t relay_cursor = 0;
     duration backoff;
     time_point read_started_at;
+    // Start of the first read of the store since its last answer. A read that is begun
+    // anew must not look like one that has just begun.
+    std::optional<time_point> unanswered_since;
 };
 
 } // namespace pistachiospan::edge::internal
