Leave a store at the first failure if it has not answered lately

Callers' requests reached upstreams that had left, and old configurations were used, because VMs learned of changes late.

Cause: a VM counted the store as reachable until its reads had failed for 0.9 s, also if it had followed another VM before and the store had not answered it for minutes, or never. Now the time counts from the store's last answer. A VM that reads the store all the while still tolerates a short failure.

Test: follower_test store_that_has_not_answered_lately_is_left_at_the_first_failure failed before.

--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -154,7 +154,6 @@
     if (this->store_reachable)
     {
         this->store_reachable = false;
-        this->failing_since = monotonic_now();
         this->hooks.lost(problem);
     }
     this->next_read.start(this->backoff);
--- a/pistachiospan/edge/follower_test.cpp
+++ b/pistachiospan/edge/follower_test.cpp
@@ -54,7 +54,9 @@
                 .read_changes =
                     [this](table, std::uint64_t, duration, const edge::page_handler& done)
                 {
-                    if (!this->store_is_silent)
+                    if (this->store_is_busy)
+                        done(failure(errc::unavailable, "busy"));
+                    else if (!this->store_is_silent)
                         done(failure(errc::stale, "history discarded; read a snapshot"));
                 },
                 .cancel_read =
@@ -62,7 +64,7 @@
                     }},
           reader(this->base.get(), {}, this->store, this->own_link, this->copy,
                  {.choose_source = [this]
-                  { return this->snapshots == 0 ? std::string() : peer_address; },
+                  { return this->reads_store() ? std::string() : peer_address; },
                   .lost = [](const error&) {},
                   .regained = [] {},
                   .read_finished =
@@ -82,6 +84,13 @@
                 }};
     }
 
+    bool reads_store() const
+    {
+        const time_point now = event_loop::monotonic_now();
+        return this->snapshots == 0 ||
+               (this->prefers_store && this->reader.reaches_store(now));
+    }
+
     // Runs the event loop until the copy has the version, for this time at most.
     bool reaches(std::uint64_t version, duration limit = 1s)
     {
@@ -105,6 +114,8 @@
     follower reader;
     int snapshots = 0;
     bool store_is_silent = false;
+    bool store_is_busy = false;
+    bool prefers_store = false; // reads it as long as it counts as reachable
 };
 
 } // namespace
@@ -162,3 +173,18 @@
         vm.base.get(), 250ms, [&] { vm.reader.reconsider(event_loop::monotonic_now()); });
     BOOST_TEST(vm.reaches(new_version, 1500ms));
 }
+
+// Guards against a VM that stays with a store that refuses it, although another VM has
+// the news, because the store has not failed for long: it has not answered for longer
+// (CONFIG and DRAIN, 11 VMs 2.2 s late in a replay).
+BOOST_AUTO_TEST_CASE(store_that_has_not_answered_lately_is_left_at_the_first_failure)
+{
+    following_vm vm;
+    BOOST_TEST_REQUIRE(vm.reaches(old_version));
+    BOOST_TEST_REQUIRE(!vm.reaches(new_version)); // it reads from the other VM for 1 s
+    vm.peer_copy.apply_changes(event_loop::monotonic_now(), page_of(new_version));
+    vm.store_is_busy = true;
+    vm.prefers_store = true;
+    vm.reader.restart();
+    BOOST_TEST(vm.reaches(new_version, 500ms));
+}
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -26,8 +26,8 @@
     // The same for a read that another VM's newer change has caused: the store should
     // answer it at once.
     duration forced_limit = std::chrono::milliseconds(900);
-    // The store counts as unreachable after failures for this long: a shorter failure
-    // does not justify moving the reads to another VM.
+    // After a failed read, the store still counts as reachable until its last answer is
+    // this old: a short failure does not justify moving the reads to another VM.
     duration lost_after = std::chrono::milliseconds(900);
     duration initial_backoff = std::chrono::milliseconds(50); // doubles up to the maximum
     duration max_backoff = std::chrono::milliseconds(400);
@@ -72,11 +72,11 @@
     // `since`. Returns false and does nothing if the pending read of the store started
     // later, or was forced and is not overdue: it fetches that change.
     bool read_from_store_since(time_point since);
-    // False if reads of the store have failed for `lost_after`.
+    // False if the last read of the store has failed, and the store has not answered
+    // within `lost_after`.
     bool reaches_store(time_point now) const
     {
-        return this->store_reachable ||
-               now - this->failing_since < this->options.lost_after;
+        return this->store_reachable || this->store_age(now) < this->options.lost_after;
     }
     // Restarts the read if another source should be used by now: the chosen VM has
     // changed, or the store is overdue and there is a VM to read from.
@@ -114,8 +114,7 @@
     // Number of the latest read; outcomes of earlier, cancelled reads are ignored.
     std::uint64_t read_sequence = 0;
     bool snapshot_needed = true;
-    bool store_reachable = true; // the last read of the store succeeded
-    time_point failing_since;
+    bool store_reachable = true; // the last read of the store did not fail
     std::optional<time_point> last_read;       // end of the last successful read
     std::optional<time_point> last_store_read; // the same, of the store
     std::string source;       // of the read in progress; empty: the store
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -124,7 +124,7 @@
     void finish_read(table which, const read_outcome& outcome);
     void log_page(table which, const read_outcome& outcome);
     void note_store_read(table which, bool succeeded);
-    // False if reads of either table have failed for `follower_options::lost_after`.
+    // False if the store counts as unreachable for either table; see the follower.
     bool reaches_store(time_point now) const;
     std::string choose_source(time_point now) const;
     // The peer address, or an empty one if that VM reads from this one: VMs that read
