--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -114,7 +114,7 @@
     // Number of the latest read; outcomes of earlier, cancelled reads are ignored.
     std::uint64_t read_sequence = 0;
     bool snapshot_needed = true;
-    bool store_reachable = true; // the last read of the store did not fail
+    bool store_reachable = true;               // the last read of the store did not fail
     std::optional<time_point> last_read;       // end of the last successful read
     std::optional<time_point> last_store_read; // the same, of the store
     std::string source;       // of the read in progress; empty: the store
