Let a forced read of the store fail soon when it is not answered

A VM that heard of a newer change read the store at once, but let the store hold the read open for up to 2 s, as if it waited for a change. With a silent store the read failed after 2.9 s, and only then was another VM asked, which had the news all the while. Members of a coordinator in this state used old configurations and upstreams that had left.

The store has the change already, so the read asks for an answer at once and fails after 0.9 s.

Test: sources_test vm_that_the_store_does_not_answer... with real daemons, two regions and a path to the store for each VM. The cases for a refusing store and for a member (2 s allowed) passed before this commit as well.

--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -93,13 +93,15 @@
         this->finish_store_read(sequence, outcome, is_snapshot);
     };
     if (is_snapshot)
+    {
         this->store.read_snapshot(this->options.followed, done);
-    else
-        // After a failure the store should answer at once: the answer alone shows that it
-        // is reachable again.
-        this->store.read_changes(this->options.followed, this->copy.position(),
-                                 this->store_reachable ? this->options.wait : duration(0),
-                                 done);
+        return;
+    }
+    // After a failure, and if another VM has a newer change, the store should answer at
+    // once: a read that it does not answer must fail soon.
+    const bool waits = this->store_reachable && !this->is_forced;
+    this->store.read_changes(this->options.followed, this->copy.position(),
+                             waits ? this->options.wait : duration(0), done);
 }
 
 void follower::finish_store_read(std::uint64_t sequence,
