Let a VM read the store again soon after a read that succeeded

The interval counted from its last read whether or not that had succeeded. A member that had read the store a few seconds before, because it was behind, stayed with the coordinator meanwhile and used upstreams that had left and old configurations, unless another VM's reports told it that it was behind.

The interval protects a store that does not answer, so it counts from failures only.

--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -10,6 +10,7 @@
 #include "pistachiospan/edge/internal/change_watch.hpp"
 #include "pistachiospan/edge/internal/follower.hpp"
 #include "pistachiospan/edge/internal/peer_link.hpp"
+#include "pistachiospan/edge/internal/store_attempts.hpp"
 #include "pistachiospan/fleet_node/fleet_node.hpp"
 #include "pistachiospan/mirror/mirror.hpp"
 
@@ -138,6 +139,7 @@
     static void read_if_behind(followed_table& followed, std::uint64_t change);
 
     store_view_options options;
+    store_attempts attempts; // of either table
     peer_link& peers;
     fleet_node::node& fleet;
     store_view_hooks hooks;
@@ -145,7 +147,6 @@
     followed_table upstreams;
     bool started = false;
     std::uint64_t restored_generation = 0; // of the last restore
-    time_point last_store_try;
     std::optional<time_point> version_behind_since;
     bool applies_held_rows = false; // now, in tick()
 };
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -79,7 +79,8 @@
 store_view::store_view(event_base* base, store_view_options options,
                        const store_access& store, peer_link& peers,
                        fleet_node::node& fleet, store_view_hooks hooks)
-    : options(options), peers(peers), fleet(fleet), hooks(std::move(hooks)),
+    : options(options), attempts(options.store_retry), peers(peers), fleet(fleet),
+      hooks(std::move(hooks)),
       operator_rows(*this, base, {.followed = table::operator_rows}, store,
                     {.instance = this->options.instance},
                     this->with_logs(table::operator_rows, this->hooks.operator_rows)),
@@ -155,7 +156,7 @@
 void store_view::note_store_read(table which, bool succeeded)
 {
     const time_point now = monotonic_now();
-    this->last_store_try = now;
+    this->attempts.note(now, succeeded);
     followed_table& read = this->followed(which);
     // The change was not fetched. While the store can be reached, catch_up() requests it
     // again.
@@ -250,12 +251,8 @@
 // attempts grows with the number of VMs that share them.
 bool store_view::may_try_store(time_point now, std::size_t vm_count) const
 {
-    if (this->store_age(now) <= this->options.store_retry)
-        return true;
-    const auto sharers = static_cast<std::int64_t>(vm_count);
-    const duration pause =
-        std::max(this->options.store_retry, this->options.store_retry * sharers / 2);
-    return now - this->last_store_try >= pause;
+    return this->store_age(now) <= this->options.store_retry ||
+           this->attempts.is_due(now, vm_count);
 }
 
 bool store_view::reaches_store(time_point now) const
