Ask for a missing change again, and the usual source in between

A VM that is behind reads the store. Two faults around that: - The change counted as requested even if the read was cancelled, or failed while the store was counted as lost. The VM did not ask for it again until there was a newer change. - Each newer change forced another read of the store at once, also while the store failed, with pauses of up to 0.4 s between them, so that the VM that this one usually reads from was hardly asked.

Now a read that was cancelled or failed doesn't count as requested, while the store fails the usual source gets 0.7 s between two attempts, and it is asked 50 ms after a failure.

Test: follower_test cancelled_forced_reads_are_reported, of a hook that is new.

--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -111,6 +111,7 @@
         return;
     const time_point now = monotonic_now();
     this->unanswered_since.reset();
+    this->is_forced = false;
     if (!outcome)
     {
         this->handle_failure(outcome.error());
@@ -158,7 +159,9 @@
         this->store_reachable = false;
         this->hooks.lost(problem);
     }
-    this->next_read.start(this->backoff);
+    // Another source need not wait because the store has failed.
+    const bool is_store_next = this->hooks.choose_source().empty();
+    this->next_read.start(is_store_next ? this->backoff : this->options.initial_backoff);
     this->backoff = std::min(this->backoff * 2, this->options.max_backoff);
 }
 
@@ -178,6 +181,8 @@
 
 void follower::restart()
 {
+    if (std::exchange(this->is_forced, false) && this->hooks.forced_read_abandoned)
+        this->hooks.forced_read_abandoned();
     ++this->read_sequence;
     this->store.cancel_read(this->options.followed);
     this->peers.cancel(this->relay_call);
--- a/pistachiospan/edge/follower_test.cpp
+++ b/pistachiospan/edge/follower_test.cpp
@@ -67,9 +67,12 @@
                   { return this->reads_store() ? std::string() : peer_address; },
                   .lost = [](const error&) {},
                   .regained = [] {},
-                  .read_finished =
-                      [](const edge::internal::read_outcome&) {
-                      }})
+                  .read_finished = [](const edge::internal::read_outcome&) {},
+                  .forced_read_abandoned =
+                      [this]
+                  {
+                      ++this->abandoned;
+                  }})
     {
         this->peer_copy.apply_snapshot(event_loop::monotonic_now(), peer_page);
         this->reader.start();
@@ -113,6 +116,7 @@
     edge::store_access store;
     follower reader;
     int snapshots = 0;
+    int abandoned = 0; // forced reads
     bool store_is_silent = false;
     bool store_is_busy = false;
     bool prefers_store = false; // reads it as long as it counts as reachable
@@ -188,3 +192,21 @@
     vm.reader.restart();
     BOOST_TEST(vm.reaches(new_version, 500ms));
 }
+
+// Guards against a change that a VM has asked the store for and never asks for again,
+// because that read was cancelled (CONFIG, DRAIN).
+BOOST_AUTO_TEST_CASE(cancelled_forced_reads_are_reported)
+{
+    following_vm vm;
+    BOOST_TEST_REQUIRE(vm.reaches(old_version));
+    BOOST_TEST_REQUIRE(!vm.reaches(new_version));
+    vm.store_is_silent = true;
+    vm.reader.read_from_store_since(event_loop::monotonic_now());
+    BOOST_TEST_REQUIRE(!vm.reaches(new_version, 50ms)); // the read is pending
+    vm.reader.restart();
+    BOOST_TEST(vm.abandoned == 1);
+    // The read from the other VM is not one of them.
+    BOOST_TEST_REQUIRE(!vm.reaches(new_version, 50ms));
+    vm.reader.restart();
+    BOOST_TEST(vm.abandoned == 1);
+}
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -56,6 +56,8 @@
     std::function<void()> regained = nullptr; // first successful one after it
     // Called for each completed read.
     std::function<void(const read_outcome&)> read_finished = nullptr;
+    // A read that read_from_store_since() has started was cancelled before its end.
+    std::function<void()> forced_read_abandoned = nullptr;
 };
 
 class follower
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -109,10 +109,12 @@
                 [this, which] {
                     this->hooks.log("store_regained", {{"table", name_of(which)}});
                 },
-            .read_finished =
-                [this, which](const read_outcome& outcome)
+            .read_finished = [this, which](const read_outcome& outcome)
+            { this->finish_read(which, outcome); },
+            .forced_read_abandoned =
+                [this, which]
             {
-                this->finish_read(which, outcome);
+                this->note_store_read(which, false);
             }};
 }
 
@@ -155,13 +157,10 @@
 
 void store_view::note_store_read(table which, bool succeeded)
 {
-    const time_point now = monotonic_now();
-    this->attempts.note(now, succeeded);
-    followed_table& read = this->followed(which);
-    // The change was not fetched. While the store can be reached, catch_up() requests it
-    // again.
-    if (!succeeded && read.table_follower.reaches_store(now))
-        read.requested_change = 0;
+    this->attempts.note(monotonic_now(), succeeded);
+    // The change was not fetched: catch_up() requests it again.
+    if (!succeeded)
+        this->followed(which).requested_change = 0;
 }
 
 void store_view::start()
@@ -311,6 +310,10 @@
          {"operator_change", number_of(this->operator_rows.copy.newest_change())},
          {"peer_registry_change", number_of(best->registry_change)},
          {"registry_change", number_of(this->upstreams.copy.newest_change())}});
+    // While the store fails, the VM that this one reads from gets its turn between two
+    // attempts: it may have the change by now.
+    if (!this->reaches_store(now) && !this->attempts.is_due(now, 1))
+        return;
     read_if_behind(this->operator_rows, best->operator_change);
     read_if_behind(this->upstreams, best->registry_change);
 }
@@ -324,8 +327,8 @@
 {
     if (change <= followed.newest_known())
         return;
-    followed.requested_change = change;
     followed.table_follower.read_from_store_since(followed.watch.missing_since());
+    followed.requested_change = change;
 }
 
 bool store_view::reread_configuration(time_point now)
