Read the coordinators' rows again until the own one is among them

Coordinators find each other by rows of the store. Each read them once at its start, while its own row was being written, and again after 60 s. Two that start within the time of a write could both read too early; then they heard of each other only after a minute. A VM in that state has no source but the store: while the store refused it, it used old configurations (CONFIG) and upstreams that had left (DRAIN), and it divided rates as if the others were cut off.

A read that contains the own row began after that row was written, so that of two such coordinators the later one sees the other. A read without it is repeated after 1 s; if the row is still missing, its write was lost, and the claim is repeated.

--- a/pistachiospan/fleet_node/fleet_node.cpp
+++ b/pistachiospan/fleet_node/fleet_node.cpp
@@ -332,6 +332,7 @@
     this->membership.set_addresses(known);
     this->full_report_due = true;
     this->coordinator_read_at = now;
+    this->misses_own_row = false;
     this->update_shares(now);
     this->send_updates(now);
     this->check(now);
@@ -340,14 +341,21 @@
 void node::finish_coordinator_read(time_point now,
                                    const result<std::map<std::string, std::string>>& all)
 {
-    this->coordinator_read_at =
-        now + (all ? coordinator_read_interval : coordinator_read_retry);
+    this->coordinator_read_at = now + coordinator_read_retry;
     if (!all)
         return;
     this->membership.set_addresses(all.value());
     const auto own_row = all.value().find(this->options.data_centre);
     if (own_row != all.value().end())
+    {
+        this->coordinator_read_at = now + coordinator_read_interval;
+        this->misses_own_row = false;
         this->local_cell.observe_row(now, own_row->second);
+    }
+    // Coordinators that start together write and read the rows at the same time: without
+    // this one's row, others may be missing as well. If it stays missing, it is lost.
+    else if (std::exchange(this->misses_own_row, true))
+        this->local_cell.observe_row(now, std::string());
     this->full_report_due = true;
     if (this->local_cell.is_coordinator())
         this->send_updates(now);
--- a/pistachiospan/fleet_node/fleet_node.hpp
+++ b/pistachiospan/fleet_node/fleet_node.hpp
@@ -269,6 +269,7 @@
     bool all_notices_due = true; // the same for notices that are not recent
     // Next read of the coordinators' rows; empty during a read.
     std::optional<time_point> coordinator_read_at;
+    bool misses_own_row = false; // the last read of the rows was without its own
     // Members only: content of the coordinator's digests.
     fleet::report coordinator;
     time_point coordinator_heard_at;
