Ask the store beside the VM that is usually read, not instead of it

A VM that is behind asked the store and cancelled its read from its usual source. If the store did not answer, the source, which had the news by then or soon, was not read for 0.9 s, and again with the next newer change.

Now the store is read beside the source; whichever has the change first counts. The copy passes over what is older, so the order of the answers doesn't matter.

Test: follower_test another_vm_is_read_while_the_store_does_not_answer failed before.

--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -109,7 +109,6 @@
 {
     if (sequence != this->read_sequence)
         return;
-    const time_point now = monotonic_now();
     this->unanswered_since.reset();
     this->is_forced = false;
     if (!outcome)
@@ -117,14 +116,23 @@
         this->handle_failure(outcome.error());
         return;
     }
+    this->apply_store_page(outcome.value(), is_snapshot, this->read_started_at);
+    this->backoff = this->options.initial_backoff;
+    this->next_read.start(this->read_started_at + this->options.min_interval -
+                          monotonic_now());
+}
+
+void follower::apply_store_page(const mirror::page& page, bool is_snapshot,
+                                time_point read_started_at)
+{
+    const time_point now = monotonic_now();
     if (is_snapshot)
-        this->copy.apply_snapshot(now, outcome.value());
+        this->copy.apply_snapshot(now, page);
     else
-        this->copy.apply_changes(now, outcome.value());
+        this->copy.apply_changes(now, page);
     this->snapshot_needed = false;
     this->last_store_read = now;
     this->last_read = now;
-    this->backoff = this->options.initial_backoff;
     if (!this->store_reachable)
     {
         this->store_reachable = true;
@@ -133,10 +141,9 @@
     this->hooks.read_finished({.from_store = true,
                                .succeeded = true,
                                .is_snapshot = is_snapshot,
-                               .rows = outcome.value().rows.size(),
-                               .position = outcome.value().position,
-                               .took = now - this->read_started_at});
-    this->next_read.start(this->read_started_at + this->options.min_interval - now);
+                               .rows = page.rows.size(),
+                               .position = page.position,
+                               .took = now - read_started_at});
 }
 
 void follower::handle_failure(const error& problem)
@@ -150,19 +157,57 @@
         this->next_read.start(duration(0));
         return;
     }
+    this->note_store_failure(problem);
+    // Another source need not wait because the store has failed.
+    const bool is_store_next = this->hooks.choose_source().empty();
+    this->next_read.start(is_store_next ? this->backoff : this->options.initial_backoff);
+    this->backoff = std::min(this->backoff * 2, this->options.max_backoff);
+}
+
+void follower::note_store_failure(const error& problem)
+{
     this->copy.note_read_failure(monotonic_now());
     this->hooks.read_finished(
         {.from_store = true,
          .timed_out = problem.code == make_error_code(errc::unknown_outcome)});
-    if (this->store_reachable)
-    {
-        this->store_reachable = false;
+    if (std::exchange(this->store_reachable, false))
         this->hooks.lost(problem);
+}
+
+void follower::begin_extra_read()
+{
+    const time_point now = monotonic_now();
+    const bool is_snapshot = this->snapshot_needed || this->copy.needs_snapshot();
+    this->extra_read_started_at = now;
+    const auto done = [this, sequence = ++this->extra_sequence, is_snapshot,
+                       now](const result<mirror::page>& outcome)
+    {
+        if (sequence == this->extra_sequence)
+            this->finish_extra_read(outcome, is_snapshot, now);
+    };
+    if (is_snapshot)
+        this->store.read_snapshot(this->options.followed, done);
+    else
+        this->store.read_changes(this->options.followed, this->copy.position(),
+                                 duration(0), done);
+}
+
+void follower::finish_extra_read(const result<mirror::page>& outcome, bool is_snapshot,
+                                 time_point read_started_at)
+{
+    this->extra_read_started_at.reset();
+    if (outcome)
+    {
+        this->apply_store_page(outcome.value(), is_snapshot, read_started_at);
+        return;
     }
-    // Another source need not wait because the store has failed.
-    const bool is_store_next = this->hooks.choose_source().empty();
-    this->next_read.start(is_store_next ? this->backoff : this->options.initial_backoff);
-    this->backoff = std::min(this->backoff * 2, this->options.max_backoff);
+    if (outcome.error().code != make_error_code(errc::stale))
+    {
+        this->note_store_failure(outcome.error());
+        return;
+    }
+    this->snapshot_needed = true;
+    this->begin_extra_read();
 }
 
 void follower::reconsider(time_point now)
@@ -184,7 +229,8 @@
     if (std::exchange(this->is_forced, false) && this->hooks.forced_read_abandoned)
         this->hooks.forced_read_abandoned();
     ++this->read_sequence;
-    this->store.cancel_read(this->options.followed);
+    if (this->source.empty())
+        this->store.cancel_read(this->options.followed);
     this->peers.cancel(this->relay_call);
     this->next_read.start(duration(0));
 }
@@ -193,11 +239,19 @@
 {
     if (this->read_sequence == 0)
         return false;
-    const duration pending_for = monotonic_now() - this->read_started_at;
+    const time_point now = monotonic_now();
+    if (!this->source.empty())
+    {
+        if (this->extra_read_started_at &&
+            now - *this->extra_read_started_at <= this->options.forced_limit)
+            return false;
+        this->begin_extra_read();
+        return true;
+    }
     const bool is_awaited =
         this->read_started_at >= since ||
-        (this->is_forced && pending_for <= this->options.forced_limit);
-    if (this->source.empty() && is_awaited)
+        (this->is_forced && now - this->read_started_at <= this->options.forced_limit);
+    if (is_awaited)
         return false;
     this->force_store = true;
     this->restart();
--- a/pistachiospan/edge/follower_test.cpp
+++ b/pistachiospan/edge/follower_test.cpp
@@ -201,12 +201,30 @@
     BOOST_TEST_REQUIRE(vm.reaches(old_version));
     BOOST_TEST_REQUIRE(!vm.reaches(new_version));
     vm.store_is_silent = true;
+    vm.prefers_store = true;
+    vm.reader.restart();
+    BOOST_TEST_REQUIRE(!vm.reaches(new_version, 50ms)); // it waits for the store
     vm.reader.read_from_store_since(event_loop::monotonic_now());
-    BOOST_TEST_REQUIRE(!vm.reaches(new_version, 50ms)); // the read is pending
+    BOOST_TEST_REQUIRE(!vm.reaches(new_version, 50ms));
     vm.reader.restart();
     BOOST_TEST(vm.abandoned == 1);
-    // The read from the other VM is not one of them.
+    // The next read is not a forced one.
     BOOST_TEST_REQUIRE(!vm.reaches(new_version, 50ms));
     vm.reader.restart();
     BOOST_TEST(vm.abandoned == 1);
 }
+
+// Guards against a VM that gives up the VM that it reads from, which has the news,
+// for a store that does not answer: 60 VMs used upstreams that had left for up to 1.9 s
+// in a play (DRAIN).
+BOOST_AUTO_TEST_CASE(another_vm_is_read_while_the_store_does_not_answer)
+{
+    following_vm vm;
+    BOOST_TEST_REQUIRE(vm.reaches(old_version));
+    BOOST_TEST_REQUIRE(!vm.reaches(new_version));
+    vm.store_is_silent = true;
+    BOOST_TEST(vm.reader.read_from_store_since(event_loop::monotonic_now()));
+    vm.peer_copy.apply_changes(event_loop::monotonic_now(), page_of(new_version));
+    vm.peer.publish(table::operator_rows);
+    BOOST_TEST(vm.reaches(new_version, 300ms));
+}
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -70,9 +70,10 @@
     void start();
     // Cancels the pending read, which may hang on a dead connection, and starts another.
     void restart();
-    // Restarts with a read of the store, because another VM has had a newer change since
-    // `since`. Returns false and does nothing if the pending read of the store started
-    // later, or was forced and is not overdue: it fetches that change.
+    // Reads the store, because another VM has had a newer change since `since`. A read
+    // from another VM goes on meanwhile: whichever has the change first counts. Returns
+    // false and does nothing if a read of the store that fetches the change is pending:
+    // one that started later, or for this reason, and is not overdue.
     bool read_from_store_since(time_point since);
     // False if the last read of the store has failed, and the store has not answered
     // within `lost_after`.
@@ -105,7 +106,13 @@
                           const result<mirror::relay_page>& outcome);
     void finish_store_read(std::uint64_t sequence, const result<mirror::page>& outcome,
                            bool is_snapshot);
+    void apply_store_page(const mirror::page& page, bool is_snapshot,
+                          time_point read_started_at);
     void handle_failure(const error& problem);
+    void note_store_failure(const error& problem);
+    void begin_extra_read();
+    void finish_extra_read(const result<mirror::page>& outcome, bool is_snapshot,
+                           time_point read_started_at);
 
     follower_options options;
     const store_access& store;
@@ -130,6 +137,9 @@
     // Start of the first read of the store since its last answer. A read that is begun
     // anew must not look like one that has just begun.
     std::optional<time_point> unanswered_since;
+    // Read of the store beside the one from another VM; empty if none is pending.
+    std::optional<time_point> extra_read_started_at;
+    std::uint64_t extra_sequence = 0; // number of the latest one
 };
 
 } // namespace pistachiospan::edge::internal
