Read from another region while the store is silent, and probe the store beside that

A coordinator without a reader in its region read the store as long as it counted as reachable. If the store did not answer, each of its reads hung for 0.9 s or more, and another region's reader, which had the news, was asked only in between. The members of its data centre waited with it (DRAIN, CONFIG).

Now a coordinator that the store has not answered for 0.9 s reads from a VM of another region if one reads the store, and asks the store beside that every 0.7 s. It returns to the store when the store has answered.

--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -174,6 +174,12 @@
         this->hooks.lost(problem);
 }
 
+void follower::probe_store()
+{
+    if (!this->source.empty() && !this->extra_read_started_at)
+        this->begin_extra_read();
+}
+
 void follower::begin_extra_read()
 {
     const time_point now = monotonic_now();
@@ -226,12 +232,19 @@
 
 void follower::restart()
 {
-    if (std::exchange(this->is_forced, false) && this->hooks.forced_read_abandoned)
-        this->hooks.forced_read_abandoned();
+    bool is_abandoned = std::exchange(this->is_forced, false);
     ++this->read_sequence;
     if (this->source.empty())
+    {
+        // Both reads of the store end, also one that began beside another VM's.
         this->store.cancel_read(this->options.followed);
+        ++this->extra_sequence;
+        is_abandoned = is_abandoned || this->extra_read_started_at;
+        this->extra_read_started_at.reset();
+    }
     this->peers.cancel(this->relay_call);
+    if (is_abandoned && this->hooks.forced_read_abandoned)
+        this->hooks.forced_read_abandoned();
     this->next_read.start(duration(0));
 }
 
@@ -242,8 +255,7 @@
     const time_point now = monotonic_now();
     if (!this->source.empty())
     {
-        if (this->extra_read_started_at &&
-            now - *this->extra_read_started_at <= this->options.forced_limit)
+        if (this->extra_read_started_at)
             return false;
         this->begin_extra_read();
         return true;
--- a/pistachiospan/edge/internal/store_view.hpp
+++ b/pistachiospan/edge/internal/store_view.hpp
@@ -27,6 +27,9 @@
     // Interval of further attempts while the store does not answer. The VMs of a data
     // centre share these attempts.
     duration store_retry = std::chrono::milliseconds(700);
+    // A coordinator whose last read of the store is older than this, and whose region has
+    // no reader, reads from a VM of another region and asks the store beside that.
+    duration store_answer_limit = std::chrono::milliseconds(900);
     // A VM whose copies have lacked a change of another VM for this long reads the store
     // itself.
     duration behind_limit = std::chrono::milliseconds(500);
@@ -131,6 +134,8 @@
     // The peer address, or an empty one if that VM reads from this one: VMs that read
     // from each other would get no news.
     std::string unless_reader(time_point now, std::string address) const;
+    std::string remote_source(time_point now) const;
+    void probe_store(time_point now);
     bool may_try_store(time_point now, std::size_t vm_count) const;
     void publish(followed_table& followed);
     void publish_changes();
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -208,9 +208,19 @@
 {
     this->operator_rows.table_follower.reconsider(now);
     this->upstreams.table_follower.reconsider(now);
+    this->probe_store(now);
     this->catch_up(now);
 }
 
+// Asks the store whether it answers again, so that its region gets a reader.
+void store_view::probe_store(time_point now)
+{
+    const bool needs_store = this->fleet.coordinator_address().empty() &&
+                             this->fleet.reader(now, this->store_age(now)).empty();
+    if (needs_store && this->attempts.is_due(now, 1))
+        this->upstreams.table_follower.probe_store();
+}
+
 // Prefers the VM of this region that reads the store, then the coordinator or the store
 // itself. A VM that cannot reach the store reads from another region's reader or, without
 // one, from the VM with the newest copies.
@@ -230,17 +240,26 @@
             this->may_try_store(now, this->fleet.known_member_count());
         return reads_store ? std::string() : coordinator;
     }
-    if (this->reaches_store(now) || this->may_try_store(now, 1))
-        return {};
-    std::string remote = this->unless_reader(now, this->fleet.remote_reader(now));
+    std::string remote = this->remote_source(now);
     if (!remote.empty())
         return remote;
+    if (this->reaches_store(now) || this->may_try_store(now, 1))
+        return {};
     const auto best =
         this->fleet.best_informed(now, this->operator_rows.copy.newest_change(),
                                   this->upstreams.copy.newest_change());
     return best ? best->peer_address : std::string();
 }
 
+// Peer address of a VM of another region that reads the store, if the store has not
+// answered this VM lately; empty otherwise.
+std::string store_view::remote_source(time_point now) const
+{
+    return this->store_age(now) <= this->options.store_answer_limit
+               ? std::string()
+               : this->unless_reader(now, this->fleet.remote_reader(now));
+}
+
 std::string store_view::unless_reader(time_point now, std::string address) const
 {
     return this->peers.is_read_by(now, address) ? std::string() : std::move(address);
@@ -278,8 +297,7 @@
     const duration age = this->store_age(now);
     const bool follows =
         !this->unless_reader(now, this->fleet.reader(now, age)).empty() ||
-        (!this->reaches_store(now) &&
-         !this->unless_reader(now, this->fleet.remote_reader(now)).empty());
+        !this->remote_source(now).empty();
     return follows ? duration(0) : age;
 }
 
