Leave a silent store with the operator's rows when the registry shows it

The registry is read every 0.6 s and leaves a store that has not answered for 0.9 s. The operator's rows are read by reads that wait for 2 s, and theirs was left only after 2.3 s. A region's reader that lost the store used old configurations for as long, and so did the VMs that follow it.

Test: follower_test pending_read_of_a_silent_store..., of a function that is new.

--- a/pistachiospan/edge/follower.cpp
+++ b/pistachiospan/edge/follower.cpp
@@ -230,6 +230,14 @@
     this->restart();
 }
 
+void follower::leave_store()
+{
+    const bool waits_for_store =
+        this->read_sequence > 0 && this->source.empty() && !this->is_forced;
+    if (waits_for_store && !this->hooks.choose_source().empty())
+        this->restart();
+}
+
 void follower::restart()
 {
     bool is_abandoned = std::exchange(this->is_forced, false);
--- a/pistachiospan/edge/follower_test.cpp
+++ b/pistachiospan/edge/follower_test.cpp
@@ -228,3 +228,21 @@
     vm.peer.publish(table::operator_rows);
     BOOST_TEST(vm.reaches(new_version, 300ms));
 }
+
+// Guards against a VM that waits for a silent store with the operator's rows, for 2.3 s,
+// when the registry, which is read more often, has shown that it is silent (CONFIG).
+BOOST_AUTO_TEST_CASE(pending_read_of_a_silent_store_is_left_for_another_vm)
+{
+    following_vm vm;
+    BOOST_TEST_REQUIRE(vm.reaches(old_version));
+    vm.store_is_silent = true;
+    vm.prefers_store = true;
+    vm.reader.restart();
+    vm.peer_copy.apply_changes(event_loop::monotonic_now(), page_of(new_version));
+    BOOST_TEST_REQUIRE(!vm.reaches(new_version, 100ms));
+    vm.reader.leave_store(); // there is no VM to read from
+    BOOST_TEST_REQUIRE(!vm.reaches(new_version, 100ms));
+    vm.prefers_store = false;
+    vm.reader.leave_store();
+    BOOST_TEST(vm.reaches(new_version, 300ms));
+}
--- a/pistachiospan/edge/internal/follower.hpp
+++ b/pistachiospan/edge/internal/follower.hpp
@@ -75,6 +75,9 @@
     // false and does nothing if a read of the store that fetches the change is pending:
     // one that started later, or for this reason, and is not overdue.
     bool read_from_store_since(time_point since);
+    // The store does not answer the reads of another table. Cancels a pending read of the
+    // store if there is a VM to read from.
+    void leave_store();
     // While reading from another VM, also reads the store, to learn whether it answers.
     void probe_store();
     // False if the last read of the store has failed, and the store has not answered
--- a/pistachiospan/edge/store_view.cpp
+++ b/pistachiospan/edge/store_view.cpp
@@ -208,6 +208,8 @@
 {
     this->operator_rows.table_follower.reconsider(now);
     this->upstreams.table_follower.reconsider(now);
+    if (this->store_age(now) > this->options.store_answer_limit)
+        this->operator_rows.table_follower.leave_store();
     this->probe_store(now);
     this->catch_up(now);
 }
