--- a/pistachiospan/mirror/mirror.cpp
+++ b/pistachiospan/mirror/mirror.cpp
@@ -248,7 +248,7 @@
     }
     std::vector<row> missing;
     for (const auto& [key, each] : this->rows)
-        if (!present.contains(key))
+        if (!present.contains(key) && each.version <= all.position)
             missing.push_back(each);
     for (const row& each : missing)
     {
--- a/pistachiospan/mirror/mirror_test.cpp
+++ b/pistachiospan/mirror/mirror_test.cpp
@@ -487,3 +487,19 @@
                              {.rows = {row("a", 11), row("b", 12)}, .position = 13});
     BOOST_TEST(table.copy.newest_change() == 12U);
 }
+
+// Guards against an upstream that is forgotten and taken for a new one a moment later: a
+// VM that has read the store in parts has rows beyond its position, and the pages of
+// others do not have them yet.
+BOOST_AUTO_TEST_CASE(snapshot_does_not_remove_rows_that_are_newer_than_it)
+{
+    recorded_mirror table;
+    table.copy.apply_snapshot(start,
+                              {.rows = {row("a", 5), row("b", 26)}, .position = 12});
+    table.copy.apply_snapshot(start, {.rows = {row("a", 5)}, .position = 22},
+                              mirror::origin::peer);
+    BOOST_TEST(table.copy.snapshot().rows.size() == 2U);
+    table.copy.apply_snapshot(start, {.rows = {row("a", 5)}, .position = 30},
+                              mirror::origin::peer);
+    BOOST_TEST(table.copy.snapshot().rows.size() == 1U);
+}
