--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -76,6 +76,7 @@
         self.calls = 0
         self.silent = False  # calls get no answer
         self.resets = False  # channels are reset
+        self.hung = asyncio.Event()  # set when the calls without an answer end
         self.channels = set()
         self.writing = set()  # channels with an unanswered rows-tx
 
@@ -151,8 +152,17 @@
 
     def reset_channels(self):
         self.resets = True
-        for writer in sorted(self.channels, key=lambda each: each not in self.writing):
+        ends = [each for each in self.channels if not each.transport.is_closing()]
+        ends.sort(key=lambda each: each not in self.writing)
+        for writer in ends:  # as when the process ends: all at the same moment
+            try:
+                writer.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # closed by the other side
+        for writer in ends:
             writer.transport.abort()
+        self.hung.set()
+        self.hung = asyncio.Event()
 
     async def serve(self, reader, writer):
         if self.resets:
@@ -170,7 +180,8 @@
                 query = {k: v[0] for k, v in parse_qs(parts.query, True).items()}
                 await asyncio.sleep(STORE_ANSWER_S)
                 if self.silent:
-                    await asyncio.sleep(3600)
+                    await self.hung.wait()
+                    return
                 if parts.path == "/api/rows-get":
                     status, answer = self.answer_get(query)
                 elif parts.path == "/api/rows-feed":
@@ -180,7 +191,8 @@
                 else:
                     status, answer = 404, {}
                 if self.silent:
-                    await asyncio.sleep(3600)
+                    await self.hung.wait()
+                    return
                 answer.update(versionNumber=self.version, nowMs=int(now() * 1000))
                 writer.write(message(f"HTTP/1.1 {status} X",
                                      {"Content-Type": "application/json"},
@@ -443,8 +455,11 @@
 
 def play(main):
     """Runs a script's main() and exits with its result."""
-    loop = asyncio.new_event_loop()
-    result = loop.run_until_complete(main())
+    try:
+        result = asyncio.new_event_loop().run_until_complete(main())
+    except BaseException as problem:  # the case couldn't run
+        print(f"not run: {problem!r}", flush=True)
+        result = 2
     os._exit(result)  # without waiting for the connections of the stand-ins
 
 
